Thin path from caller to upstream as separate processes

Cause: nothing existed. Change: entry and sidecar roles of daisymountd, daisymountctl, stand-ins for the store (etcd gateway form), VM list, engine and plain service, two example sites, demo and test commands. Decisions sit in deterministic cores.

--- /dev/null
+++ b/buildscripts/test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs all checks: format, build with warnings as errors, linter, every test program, models, scenarios.
+# Usage: test.sh [--quick]; --quick leaves out the linter, the sanitizer builds and the large models.
+set -u
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+cd "$ROOT" || exit 1
+QUICK=${1:-}
+BUILD=${DAISYMOUNT_BUILD:-$ROOT/build}
+FAILED=0
+
+step() {
+    local name=$1
+    shift
+    echo "== $name"
+    if "$@"; then echo "-- $name: passed"; else echo "-- $name: FAILED"; FAILED=1; fi
+}
+
+check_format() {
+    git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
+}
+
+step install "$ROOT/buildscripts/install.sh"
+step format check_format
+step build "$ROOT/buildscripts/build.sh" "$BUILD"
+step tests ctest --test-dir "$BUILD" --output-on-failure -j 4
+[ "$QUICK" = --quick ] || step linter "$ROOT/buildscripts/lint.sh" "$BUILD"
+[ -s "$ROOT/KNOWN-RED.txt" ] && { echo "== known red, passed over:"; cat "$ROOT/KNOWN-RED.txt"; }
+exit $FAILED
--- /dev/null
+++ b/src/node/tests/node_tests.cpp
@@ -0,0 +1,5 @@
+// Tests of the node library.
+
+#include <CppUTest/TestHarness.h>
+
+TEST_GROUP(Node){};
--- /dev/null
+++ b/src/platform/httpvmlist.h
@@ -0,0 +1,25 @@
+// Adapter to a VM list served as JSON: {"vms": [{"name": "...", "state": "live" or "leaving"}]}.
+
+#pragma once
+
+#include "network/httpclient.h"
+#include "platform/ivmlist.h"
+
+#include <memory>
+#include <string>
+
+namespace daisymount::platform
+{
+
+class HttpVmList : public IVmList
+{
+public:
+    HttpVmList(std::string url, std::unique_ptr<network::ClientPort> port);
+    void fetch(VmListHandler handler) override;
+
+private:
+    std::string url_;
+    std::unique_ptr<network::ClientPort> port_;
+};
+
+} // namespace daisymount::platform
--- /dev/null
+++ b/src/platform/tests/platform_tests.cpp
@@ -0,0 +1,5 @@
+// Tests of the platform library.
+
+#include <CppUTest/TestHarness.h>
+
+TEST_GROUP(placeholder_platform){};
--- /dev/null
+++ b/src/promises/tests/promises_tests.cpp
@@ -0,0 +1,117 @@
+// Each checker must be able to fail.
+
+#include "promises/promiseledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount::promises;
+using daisymount::framework::milliseconds;
+using daisymount::framework::ResultCode;
+using daisymount::framework::RunState;
+using daisymount::framework::seconds;
+
+TEST_GROUP(PromiseLedger)
+{
+    PromiseLedger ledger{seconds{3}};
+
+    void expectOne(Promise promise)
+    {
+        const auto violations = ledger.violations();
+        LONGS_EQUAL(1, violations.size());
+        LONGS_EQUAL(static_cast<int>(promise), static_cast<int>(violations.front().promise));
+    }
+};
+
+TEST(PromiseLedger, findsADoubleRun)
+{
+    ledger.onExecution("k", "u1", "a", seconds{1});
+    ledger.onExecution("k", "u2", "a", seconds{2});
+    expectOne(Promise::AtMostOnce);
+}
+
+TEST(PromiseLedger, findsAFalseNotRun)
+{
+    ledger.onExecution("k", "u1", "a", seconds{1});
+    ledger.onReply("r1", "k", ResultCode::StoreUnavailable, RunState::NotRun);
+    expectOne(Promise::NotRunIsTrue);
+}
+
+TEST(PromiseLedger, allowsNotRunOfOneReceiptAndARunOfAnother)
+{
+    ledger.onReply("r1", "k", ResultCode::NoUpstream, RunState::NotRun);
+    ledger.onExecution("k", "u1", "a", seconds{1});
+    ledger.onReply("r2", "k", ResultCode::Ok, RunState::Ran);
+    LONGS_EQUAL(0, ledger.violations().size());
+}
+
+TEST(PromiseLedger, findsAConfirmationWithoutARun)
+{
+    ledger.onReply("r1", "k", ResultCode::Ok, RunState::Ran);
+    expectOne(Promise::WholeOwnAnswer);
+}
+
+TEST(PromiseLedger, findsWorkInAZoneAfterTheGraceOnly)
+{
+    ledger.onZoneOut("a", seconds{10});
+    ledger.onExecution("", "u1", "a", seconds{12});
+    LONGS_EQUAL(0, ledger.violations().size());
+    ledger.onExecution("", "u1", "a", seconds{14});
+    expectOne(Promise::ZoneOutNoNewWork);
+    ledger.onZoneIn("a", seconds{20});
+    ledger.onExecution("", "u1", "a", seconds{21});
+    LONGS_EQUAL(1, ledger.lateStarts("a"));
+}
+
+TEST(PromiseLedger, findsWorkOnALeavingUpstream)
+{
+    ledger.onLeaving("u1", seconds{1});
+    ledger.onExecution("", "u1", "a", seconds{5});
+    expectOne(Promise::LeavingNoNewWork);
+}
+
+TEST(PromiseLedger, findsTwoMapsInOneStep)
+{
+    ledger.onStep("g", 7, "r0", 1);
+    ledger.onStep("g", 7, "r1", 2);
+    expectOne(Promise::OneExpertMapPerStep);
+}
+
+TEST(PromiseLedger, findsAnOverloadedColdUpstream)
+{
+    ledger.onColdLoad("u1", 3, 2);
+    expectOne(Promise::ColdStartBearable);
+}
+
+TEST(PromiseLedger, findsAWrongAnswer)
+{
+    ledger.onCompleteAnswer("r1", "abc", "ab");
+    expectOne(Promise::WholeOwnAnswer);
+}
+
+TEST(PromiseLedger, findsASecondReply)
+{
+    ledger.onReply("r1", "", ResultCode::Ok, RunState::Ran);
+    ledger.onReply("r1", "", ResultCode::Ok, RunState::Ran);
+    expectOne(Promise::AnsweredOnce);
+}
+
+TEST(PromiseLedger, findsAConfigurationThatReverts)
+{
+    ledger.onConfigApplied("n", 5, seconds{1});
+    ledger.onConfigApplied("n", 4, seconds{2});
+    expectOne(Promise::ConfigurationForward);
+}
+
+TEST(PromiseLedger, findsANodeThatLacksTheAcceptedConfiguration)
+{
+    ledger.onConfigAccepted(5, seconds{1});
+    ledger.onConfigApplied("n", 4, seconds{2});
+    ledger.checkConfigInForce({"n"});
+    expectOne(Promise::ConfigurationForward);
+}
+
+TEST(PromiseLedger, findsACutOffRequest)
+{
+    ledger.onCutOff("r1");
+    expectOne(Promise::GracefulStop);
+}
--- /dev/null
+++ b/src/slo/tests/slo_tests.cpp
@@ -0,0 +1,5 @@
+// Tests of the slo library.
+
+#include <CppUTest/TestHarness.h>
+
+TEST_GROUP(Slo){};
--- /dev/null
+++ b/standins/traffic.cpp
@@ -0,0 +1,582 @@
+// Callers of the demo and the end-to-end run: quotations (streamed), member questions (whole) and order confirmations
+// (non-idempotent), sent to the entries as callers do. At the end it asks the stand-ins what they ran, checks the promises
+// and prints a table. Exits with 1 when a promise was broken.
+
+#include "answertext.h"
+#include "promises/promiseledger.h"
+#include "standinserver.h"
+
+#include "framework/json.h"
+#include "network/httpclient.h"
+
+#include <docopt.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <sstream>
+
+namespace
+{
+using namespace daisymount;
+using framework::Duration;
+using framework::Instant;
+using framework::monotonicNow;
+using framework::ResultCode;
+using framework::RunState;
+using network::CallResult;
+
+constexpr const char *USAGE = R"(Sends work to a daisymount site and checks its promises.
+
+Usage: traffic --entries=LIST --model=NAME --plain=NAME --key=KEY --upstreams=FILE [options]
+
+Options:
+  --entries=LIST       Addresses of some entries, separated by commas.
+  --model=NAME         Model service.
+  --plain=NAME         Plain service.
+  --key=KEY            API key.
+  --upstreams=FILE     Lines "name zone kind address" of the stand-ins behind the sidecars.
+  --events=FILE        Lines "zone-out|zone-in|leaving|returned NAME UNIX_MS", written by the caller of this program.
+  --seconds=N          Duration [default: 20].
+  --quotations=N       Streamed requests a second [default: 12].
+  --questions=N        Whole requests a second [default: 12].
+  --orders=N           Order confirmations a second [default: 8].
+  --tokens=N           Tokens per answer [default: 16].
+  --seed=N             Seed of the arrivals [default: 1].
+  --allow-lost         Entries may be killed: an answer that never comes is not a broken promise.
+)";
+
+enum class Kind {
+    Quotation,
+    Question,
+    Order,
+};
+
+constexpr int MAX_TRIES = 6;
+constexpr Duration TRY_TIMEOUT = framework::seconds{20};
+constexpr Duration MAX_PAUSE = framework::milliseconds{1000};
+constexpr Duration PROMISE_GRACE = framework::seconds{3};
+
+struct Job
+{
+    Kind kind = Kind::Quotation;
+    std::string id;
+    std::string key;
+    std::string prompt;
+    int tries = 0;
+    Instant startedAt{0};
+    Instant firstTokenAt{0};
+    Instant lastTokenAt{0};
+    std::string buffer; ///< Undecoded rest of the stream or the whole body.
+    std::string text;
+    bool done = false; ///< The end marker of a stream was seen.
+};
+
+struct Tally
+{
+    int64_t sent = 0;
+    int64_t answered = 0;
+    int64_t unknown = 0;
+    int64_t lost = 0; ///< No reply at all after all tries.
+    std::map<std::string, int64_t> refused; ///< By result code name.
+};
+
+struct Options
+{
+    std::vector<std::string> entries;
+    std::string model;
+    std::string plain;
+    std::string apiKey;
+    std::string upstreamsFile;
+    std::string eventsFile;
+    int64_t seconds = 0;
+    std::map<Kind, double> rates;
+    int64_t tokens = 0;
+    uint64_t seed = 1;
+    bool allowLost = false;
+};
+
+std::vector<std::string> split(const std::string &text, char separator)
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, separator);) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+double percentile(std::vector<double> samples, double share)
+{
+    if (samples.empty()) {
+        return 0.0;
+    }
+    const auto rank = static_cast<size_t>(share * static_cast<double>(samples.size() - 1));
+    std::nth_element(samples.begin(), samples.begin() + static_cast<std::ptrdiff_t>(rank), samples.end());
+    return samples[rank];
+}
+
+double toMs(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+class Traffic
+{
+public:
+    explicit Traffic(Options options)
+        : options_(std::move(options))
+        , random_(options_.seed)
+        , duty_("traffic", framework::milliseconds{2})
+        , port_(client_.makePort(duty_))
+        , ledger_(PROMISE_GRACE)
+        , addresses_(options_.entries)
+    { }
+
+    int run()
+    {
+        client_.start();
+        startedAt_ = monotonicNow();
+        duty_.start({[this] { tick(); }, {}, -1});
+        std::unique_lock lock(mutex_);
+        finished_.wait(lock, [this] { return over_; });
+        lock.unlock();
+        duty_.stop();
+        client_.stop();
+        return printReport();
+    }
+
+private:
+    // Arrivals.
+    void tick()
+    {
+        const Instant now = monotonicNow();
+        const bool sending = now - startedAt_ < std::chrono::seconds{options_.seconds};
+        if (sending) {
+            refreshAddresses(now);
+            for (auto &[kind, rate] : options_.rates) {
+                arrive(kind, rate, now);
+            }
+            showProgress(now);
+        } else if (open_ == 0 && !collecting_) {
+            collecting_ = true;
+            collect();
+        }
+        std::erase_if(pauses_, [&](const Pause &pause) {
+            if (now < pause.until) {
+                return false;
+            }
+            ready_.push_back(pause.job);
+            return true;
+        });
+        std::vector<std::shared_ptr<Job>> ready;
+        ready.swap(ready_);
+        for (const auto &job : ready) {
+            send(job);
+        }
+    }
+
+    void arrive(Kind kind, double rate, Instant now)
+    {
+        Instant &next = nextArrival_[kind];
+        if (rate <= 0.0 || now < next) {
+            return;
+        }
+        std::exponential_distribution<double> gap(rate);
+        next = std::max(next, now - framework::seconds{1}) + Duration{static_cast<int64_t>(gap(random_) * 1e6)};
+        const auto job = std::make_shared<Job>();
+        job->kind = kind;
+        job->id = "job-" + std::to_string(++lastJob_);
+        job->startedAt = now;
+        if (kind == Kind::Order) {
+            job->key = "order-" + std::to_string(options_.seed) + "-" + std::to_string(lastJob_);
+        } else {
+            job->prompt = "Cork grade " + std::to_string(lastJob_ % 24) + " for cooperages, question " + std::to_string(lastJob_);
+        }
+        ++tally_[kind].sent;
+        ++open_;
+        send(job);
+    }
+
+    void showProgress(Instant now)
+    {
+        if (now < nextProgress_) {
+            return;
+        }
+        nextProgress_ = now + framework::seconds{5};
+        int64_t sent = 0;
+        int64_t answered = 0;
+        for (const auto &[kind, tally] : tally_) {
+            sent += tally.sent;
+            answered += tally.answered;
+        }
+        std::cout << "  " << std::chrono::duration_cast<std::chrono::seconds>(now - startedAt_).count() << " s: " << sent << " sent, " << answered
+                  << " answered" << std::endl;
+    }
+
+    void refreshAddresses(Instant now)
+    {
+        if (now < nextRefresh_) {
+            return;
+        }
+        nextRefresh_ = now + framework::milliseconds{1000};
+        network::HttpCall call;
+        call.url = "http://" + pickAddress() + "/v1/addresses?service=" + options_.model + "&organisation=" + std::to_string(lastJob_ % 3);
+        call.timeout = framework::seconds{1};
+        fetch(std::move(call), [this](CallResult result, const Json::Value &answer) {
+            if (result != CallResult::Complete || !answer["addresses"].isArray() || answer["addresses"].empty()) {
+                addresses_ = options_.entries;
+                nextRefresh_ = Instant{0};
+                return;
+            }
+            addresses_.clear();
+            for (const Json::Value &address : answer["addresses"]) {
+                addresses_.push_back(address.asString());
+            }
+            nextRefresh_ = monotonicNow() + std::chrono::milliseconds{framework::intField(answer, "ttl_ms")} / 2;
+        });
+    }
+
+    std::string pickAddress()
+    {
+        std::uniform_int_distribution<size_t> position(0, addresses_.size() - 1);
+        return addresses_[position(random_)];
+    }
+
+    void fetch(network::HttpCall call, std::function<void(CallResult, const Json::Value &)> handler)
+    {
+        const auto text = std::make_shared<std::string>();
+        network::HttpCallHooks hooks;
+        hooks.data = [text](int, std::string_view bytes) { *text += bytes; };
+        hooks.done = [text, handler = std::move(handler)](CallResult result, int) { handler(result, standins::parseBody(*text)); };
+        port_->start(std::move(call), std::move(hooks));
+    }
+
+    // One job.
+    network::HttpCall callOf(const Job &job)
+    {
+        network::HttpCall call;
+        call.method = "POST";
+        call.timeout = TRY_TIMEOUT;
+        call.headers = {"Authorization: Bearer " + options_.apiKey, "Content-Type: application/json"};
+        const std::string base = "http://" + pickAddress();
+        Json::Value body;
+        body["model"] = options_.model;
+        body["max_tokens"] = static_cast<Json::Int64>(options_.tokens);
+        switch (job.kind) {
+        case Kind::Quotation:
+            call.url = base + "/v1/completions";
+            body["prompt"] = job.prompt;
+            body["stream"] = true;
+            break;
+        case Kind::Question:
+            call.url = base + "/v1/chat/completions";
+            body["messages"][0]["role"] = "user";
+            body["messages"][0]["content"] = job.prompt;
+            break;
+        case Kind::Order:
+            call.url = base + "/services/" + options_.plain + "/orders";
+            call.headers.push_back("Idempotency-Key: " + job.key);
+            body.clear();
+            body["order"] = job.key;
+            break;
+        }
+        call.body = framework::writeJson(body);
+        return call;
+    }
+
+    void send(const std::shared_ptr<Job> &job)
+    {
+        ++job->tries;
+        job->buffer.clear();
+        job->text.clear();
+        job->done = false;
+        network::HttpCallHooks hooks;
+        hooks.data = [this, job](int status, std::string_view bytes) { onData(*job, status, bytes); };
+        hooks.done = [this, job](CallResult result, int status) { onDone(job, result, status); };
+        port_->start(callOf(*job), std::move(hooks));
+    }
+
+    void onData(Job &job, int status, std::string_view bytes)
+    {
+        job.buffer += bytes;
+        if (job.kind != Kind::Quotation || status != 200) {
+            return;
+        }
+        for (size_t end = job.buffer.find("\n\n"); end != std::string::npos; end = job.buffer.find("\n\n")) {
+            const std::string payload = job.buffer.substr(std::string("data: ").size(), end - std::string("data: ").size());
+            job.buffer.erase(0, end + 2);
+            onStreamEvent(job, payload);
+        }
+    }
+
+    void onStreamEvent(Job &job, const std::string &payload)
+    {
+        if (payload == "[DONE]") {
+            job.done = true;
+            return;
+        }
+        const Json::Value event = standins::parseBody(payload);
+        if (!event["choices"].isArray()) {
+            return;
+        }
+        const Instant now = monotonicNow();
+        if (job.firstTokenAt == Instant{0}) {
+            job.firstTokenAt = now;
+            firstTokenMs_.push_back(toMs(now - job.startedAt));
+        } else if (job.lastTokenAt > Instant{0}) {
+            gapMs_.push_back(toMs(now - job.lastTokenAt));
+        }
+        job.lastTokenAt = now;
+        job.text += event["choices"][0]["text"].asString();
+    }
+
+    void onDone(const std::shared_ptr<Job> &job, CallResult result, int status)
+    {
+        if (result == CallResult::NotConnected) {
+            retryOrLose(job, framework::milliseconds{50});
+            return;
+        }
+        const bool broken = result != CallResult::Complete;
+        const bool idempotent = job->kind != Kind::Order;
+        if (status >= 400 && !broken) {
+            onRefusal(job);
+        } else if (broken || (job->kind == Kind::Quotation && !job->done)) {
+            ++broken_;
+            static_cast<void>(idempotent);
+            retryOrLose(job, framework::milliseconds{50});
+        } else {
+            onAnswer(*job);
+        }
+    }
+
+    void onRefusal(const std::shared_ptr<Job> &job)
+    {
+        const Json::Value error = standins::parseBody(job->buffer)["error"];
+        const std::string name = framework::stringField(error, "name");
+        const std::string ran = framework::stringField(error, "ran");
+        const auto code = static_cast<ResultCode>(framework::intField(error, "code"));
+        const RunState state = ran == "not_run" ? RunState::NotRun : ran == "ran" ? RunState::Ran : RunState::Unknown;
+        ledger_.onReply(framework::stringField(error, "request"), job->key, code, state);
+        ++tally_[job->kind].refused[name];
+        if (code == ResultCode::OutcomeUnknown) {
+            ++tally_[job->kind].unknown;
+            finish();
+            return;
+        }
+        const Duration pause = std::chrono::milliseconds{framework::intField(error, "retry_after_ms")};
+        retryOrLose(job, std::clamp<Duration>(pause, framework::milliseconds{20}, MAX_PAUSE));
+    }
+
+    void onAnswer(const Job &job)
+    {
+        ++tally_[job.kind].answered;
+        if (job.kind == Kind::Order) {
+            ledger_.onReply(job.id, job.key, ResultCode::Ok, RunState::Ran);
+            const Json::Value answer = standins::parseBody(job.buffer);
+            ledger_.onCompleteAnswer(job.id, job.key, framework::stringField(answer, "confirmed"));
+            orderMs_.push_back(toMs(monotonicNow() - job.startedAt));
+        } else if (job.kind == Kind::Question) {
+            const Json::Value answer = standins::parseBody(job.buffer);
+            const std::string text = answer["choices"][0]["message"]["content"].asString();
+            ledger_.onCompleteAnswer(job.id, standins::answerText(job.prompt, options_.tokens), text);
+            wholeMs_.push_back(toMs(monotonicNow() - job.startedAt));
+        } else {
+            ledger_.onCompleteAnswer(job.id, standins::answerText(job.prompt, options_.tokens), job.text);
+        }
+        finish();
+    }
+
+    void retryOrLose(const std::shared_ptr<Job> &job, Duration pause)
+    {
+        if (job->tries >= MAX_TRIES) {
+            ++tally_[job->kind].lost;
+            finish();
+            return;
+        }
+        pauses_.push_back({monotonicNow() + pause, job});
+    }
+
+    void finish()
+    {
+        --open_;
+    }
+
+    // The end.
+    void collect()
+    {
+        std::ifstream file(options_.upstreamsFile);
+        std::string name;
+        std::string zone;
+        std::string kind;
+        std::string address;
+        while (file >> name >> zone >> kind >> address) {
+            ++collectsOpen_;
+            network::HttpCall call;
+            call.url = "http://" + address + "/standin/state";
+            fetch(std::move(call), [this, name, zone](CallResult result, const Json::Value &state) { onState(name, zone, result, state); });
+        }
+        if (collectsOpen_ == 0) {
+            end();
+        }
+    }
+
+    void onState(const std::string &name, const std::string &zone, CallResult result, const Json::Value &state)
+    {
+        statesMissing_ += result == CallResult::Complete ? 0 : 1;
+        overloads_ += framework::intField(state, "overloads");
+        for (const Json::Value &start : state["starts_ms"]) {
+            ledger_.onExecution("", name, zone, std::chrono::milliseconds{start.asInt64()});
+        }
+        const Json::Value &runs = state["runs"];
+        for (const std::string &key : runs.isObject() ? runs.getMemberNames() : Json::Value::Members{}) {
+            for (int run = 0; run < runs[key].asInt(); ++run) {
+                ledger_.onExecution(key, name, "", Duration{0});
+            }
+            doubleRuns_ += std::max(0, runs[key].asInt() - 1);
+        }
+        if (--collectsOpen_ == 0) {
+            end();
+        }
+    }
+
+    void end()
+    {
+        readEvents();
+        const std::lock_guard lock(mutex_);
+        over_ = true;
+        finished_.notify_one();
+    }
+
+    void readEvents()
+    {
+        std::ifstream file(options_.eventsFile);
+        std::string what;
+        std::string name;
+        int64_t atMs = 0;
+        while (file >> what >> name >> atMs) {
+            const Instant at = std::chrono::milliseconds{atMs};
+            if (what == "zone-out") {
+                ledger_.onZoneOut(name, at);
+                zonesOut_.push_back(name);
+            } else if (what == "zone-in") {
+                ledger_.onZoneIn(name, at);
+            } else if (what == "leaving") {
+                ledger_.onLeaving(name, at);
+            } else if (what == "returned") {
+                ledger_.onReturned(name, at);
+            }
+        }
+    }
+
+    static void printRow(const std::string &name, const std::vector<double> &samples)
+    {
+        std::cout << "  " << std::left << std::setw(34) << name << std::right << std::fixed << std::setprecision(1) << std::setw(9) << percentile(samples, 0.50)
+                  << std::setw(9) << percentile(samples, 0.95) << std::setw(9) << percentile(samples, 0.99) << std::setw(9) << samples.size() << '\n';
+    }
+
+    int printReport()
+    {
+        const std::map<Kind, std::string> names{{Kind::Quotation, "quotations"}, {Kind::Question, "member questions"}, {Kind::Order, "order confirmations"}};
+        int64_t lost = 0;
+        std::cout << "\n  " << std::left << std::setw(22) << "work" << std::right << std::setw(8) << "sent" << std::setw(10) << "answered" << std::setw(9)
+                  << "unknown" << std::setw(7) << "lost"
+                  << "  refusals on the way\n";
+        for (const auto &[kind, name] : names) {
+            const Tally &tally = tally_[kind];
+            lost += tally.lost;
+            std::cout << "  " << std::left << std::setw(22) << name << std::right << std::setw(8) << tally.sent << std::setw(10) << tally.answered
+                      << std::setw(9) << tally.unknown << std::setw(7) << tally.lost << "  ";
+            for (const auto &[code, count] : tally.refused) {
+                std::cout << code << "=" << count << " ";
+            }
+            std::cout << '\n';
+        }
+        std::cout << "\n  " << std::left << std::setw(34) << "milliseconds" << std::right << std::setw(9) << "p50" << std::setw(9) << "p95" << std::setw(9)
+                  << "p99" << std::setw(9) << "samples" << '\n';
+        printRow("first token (quotations)", firstTokenMs_);
+        printRow("between tokens (quotations)", gapMs_);
+        printRow("whole answer (member questions)", wholeMs_);
+        printRow("order confirmations", orderMs_);
+        std::cout << "\n  double runs: " << doubleRuns_ << ", cold engines overloaded: " << overloads_ << ", connections broken: " << broken_
+                  << ", stand-ins without report: " << statesMissing_ << '\n';
+        for (const std::string &zone : zonesOut_) {
+            std::cout << "  new work in " << zone << " later than 3 s after it was taken out: " << ledger_.lateStarts(zone) << '\n';
+        }
+        if (lost > 0 && !options_.allowLost) {
+            ledger_.onCutOff(std::to_string(lost) + " requests got no answer");
+        }
+        if (overloads_ > 0) {
+            ledger_.onColdLoad("a stand-in engine", overloads_, 0);
+        }
+        const std::vector<promises::Violation> violations = ledger_.violations();
+        for (const promises::Violation &violation : violations) {
+            std::cout << "  BROKEN: " << promises::toString(violation.promise) << ": " << violation.detail << '\n';
+        }
+        std::cout << (violations.empty() ? "\n  all promises kept\n" : "\n  promises broken\n");
+        return violations.empty() ? 0 : 1;
+    }
+
+    struct Pause
+    {
+        Instant until;
+        std::shared_ptr<Job> job;
+    };
+
+    Options options_;
+    std::mt19937_64 random_;
+    network::HttpClient client_;
+    network::DutyThread duty_;
+    std::unique_ptr<network::ClientPort> port_;
+    promises::PromiseLedger ledger_;
+    std::vector<std::string> addresses_;
+    Instant startedAt_{0};
+    Instant nextRefresh_{0};
+    Instant nextProgress_{0};
+    std::map<Kind, Instant> nextArrival_;
+    std::vector<Pause> pauses_;
+    std::vector<std::shared_ptr<Job>> ready_;
+    std::map<Kind, Tally> tally_;
+    std::vector<double> firstTokenMs_;
+    std::vector<double> gapMs_;
+    std::vector<double> wholeMs_;
+    std::vector<double> orderMs_;
+    std::vector<std::string> zonesOut_;
+    uint64_t lastJob_ = 0;
+    int64_t open_ = 0;
+    int64_t broken_ = 0;
+    int64_t doubleRuns_ = 0;
+    int64_t overloads_ = 0;
+    int64_t statesMissing_ = 0;
+    int64_t collectsOpen_ = 0;
+    bool collecting_ = false;
+    std::mutex mutex_;
+    std::condition_variable finished_;
+    bool over_ = false;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(USAGE, {argv + 1, argv + argc});
+    Options options;
+    options.entries = split(arguments.at("--entries").asString(), ',');
+    options.model = arguments.at("--model").asString();
+    options.plain = arguments.at("--plain").asString();
+    options.apiKey = arguments.at("--key").asString();
+    options.upstreamsFile = arguments.at("--upstreams").asString();
+    options.eventsFile = arguments.at("--events") ? arguments.at("--events").asString() : "";
+    options.seconds = arguments.at("--seconds").asLong();
+    options.rates = {{Kind::Quotation, std::stod(arguments.at("--quotations").asString())},
+                     {Kind::Question, std::stod(arguments.at("--questions").asString())},
+                     {Kind::Order, std::stod(arguments.at("--orders").asString())}};
+    options.tokens = arguments.at("--tokens").asLong();
+    options.seed = static_cast<uint64_t>(arguments.at("--seed").asLong());
+    options.allowLost = arguments.at("--allow-lost").asBool();
+    return Traffic(std::move(options)).run();
+}
--- /dev/null
+++ b/standins/vmlist.cpp
@@ -0,0 +1,83 @@
+// Stand-in for the platform's VM list. Changes show up after a lag.
+//
+// POST /standin/state {"name": "...", "state": "live" or "leaving" or "gone"}; GET /v1/vms.
+
+#include "standinserver.h"
+
+#include <docopt.h>
+
+#include <deque>
+#include <map>
+
+namespace
+{
+using namespace daisymount;
+using framework::Instant;
+
+constexpr const char *USAGE = R"(Stand-in for the platform's VM list.
+
+Usage: standin_vmlist --address=ADDRESS [--lag-ms=MS]
+
+Options:
+  --address=ADDRESS  Address and port to listen on.
+  --lag-ms=MS        Time until a change shows up [default: 500].
+)";
+
+class VmList
+{
+public:
+    VmList(const std::string &address, int64_t lagMs)
+        : lag_(std::chrono::milliseconds{lagMs})
+        , server_(address, framework::milliseconds{20}, {[this](const network::HttpRequest &request) { onRequest(request); }, {}, {}})
+    { }
+
+    int run()
+    {
+        return server_.run();
+    }
+
+private:
+    struct Change
+    {
+        Instant visibleAt;
+        std::string name;
+        std::string state;
+    };
+
+    void onRequest(const network::HttpRequest &request)
+    {
+        const Instant now = framework::monotonicNow();
+        while (!changes_.empty() && changes_.front().visibleAt <= now) {
+            states_[changes_.front().name] = changes_.front().state;
+            changes_.pop_front();
+        }
+        Json::Value answer(Json::objectValue);
+        if (request.path == "/standin/state") {
+            const Json::Value body = standins::parseBody(request.body);
+            changes_.push_back({now + lag_, framework::stringField(body, "name"), framework::stringField(body, "state")});
+        } else {
+            answer["vms"] = Json::arrayValue;
+            for (const auto &[name, state] : states_) {
+                if (state != "gone") {
+                    Json::Value vm;
+                    vm["name"] = name;
+                    vm["state"] = state;
+                    answer["vms"].append(vm);
+                }
+            }
+        }
+        server_.reply(request.exchange, 200, answer);
+    }
+
+    framework::Duration lag_;
+    std::deque<Change> changes_;
+    std::map<std::string, std::string> states_;
+    standins::StandInServer server_;
+};
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(USAGE, {argv + 1, argv + argc});
+    return VmList(arguments.at("--address").asString(), arguments.at("--lag-ms").asLong()).run();
+}
