--- a/src/entry/entrycore.h
+++ b/src/entry/entrycore.h
@@ -94,6 +94,7 @@
         std::string organisation;
         bool idempotent = true;
         bool deferrable = false;
+        bool charged = false; ///< The organisation's limit was charged with the estimate.
         bool replied = false; ///< The final answer was given or the caller has gone.
         Instant receivedAt{0};
         Instant deadline{0};
--- a/src/entry/internal/entrychecks.cpp
+++ b/src/entry/internal/entrychecks.cpp
@@ -78,6 +78,7 @@
         refuse(request, ResultCode::OrganisationOverLimit, RunState::NotRun, decision.retryAfter);
         return false;
     }
+    request.charged = true;
     billing_.charge(tokens, !request.deferrable, unixMs);
     return true;
 }
--- a/src/entry/internal/entrycore.cpp
+++ b/src/entry/internal/entrycore.cpp
@@ -172,6 +172,8 @@
 void EntryCore::abandonAttempt(Request &request, Instant now)
 {
     if (request.attempt != 0) {
+        // The sidecar may hold the attempt and run it all the same.
+        request.maybeRan = true;
         parts_.transport.cancel(request.attempt);
         endAttempt(request, now);
     }
@@ -190,7 +192,6 @@
     request.lastEventAt = now;
     if (const auto *accepted = std::get_if<attempts::Accepted>(&event)) {
         request.accepted = true;
-        request.maybeRan = true;
         parts_.router.onHint(request.upstream, accepted->hint, now);
     } else if (const auto *token = std::get_if<attempts::Token>(&event)) {
         onToken(request, *token, now);
@@ -303,8 +304,6 @@
 
 void EntryCore::afterNotRun(Request &request, const Failure &failure, Instant now)
 {
-    // The hand-over of this attempt was taken back or never happened.
-    request.maybeRan = request.maybeRan && request.stream.nextOffset() > 0;
     report("attempt_refused", failure.code, request);
     if (request.replied) {
         if (!request.claimId.empty()) {
@@ -336,6 +335,7 @@
         return;
     }
     request.tried.insert(request.upstream);
+    request.lastFailure.code = code;
     if (!budget_.tryTake(now)) {
         const bool truncated = request.stream.nextOffset() > 0;
         refuse(request, truncated ? ResultCode::AnswerTruncated : ResultCode::RetryBudgetSpent, runStateOf(request), DEFAULT_RETRY_AFTER);
@@ -370,6 +370,7 @@
         afterBreak(request, code, now_);
         return;
     }
+    // Another attempt is made only after all earlier ones were proven not to have run.
     request.maybeRan = false;
     const bool mayRetry = !request.claimId.empty() && now_ < request.deadline && !request.replied;
     if (mayRetry) {
@@ -429,7 +430,9 @@
         return;
     }
     request.replied = true;
-    limiter_.settle(request.organisation, request.caller.estimatedTokens, static_cast<double>(request.stream.nextOffset()));
+    if (request.charged) {
+        limiter_.settle(request.organisation, request.caller.estimatedTokens, static_cast<double>(request.stream.nextOffset()));
+    }
     recordOutcome(request, reply.code);
     parts_.callers.onReply(request.caller.id, reply);
 }
@@ -525,9 +528,9 @@
 void EntryCore::onDeadline(Request &request, Instant now)
 {
     if (request.idempotent) {
-        const RunState ran = runStateOf(request);
         abandonAttempt(request, now);
-        refuse(request, request.stream.nextOffset() > 0 ? ResultCode::AnswerTruncated : ResultCode::DeadlinePassed, ran, Duration{0});
+        const bool truncated = request.stream.nextOffset() > 0;
+        refuse(request, truncated ? ResultCode::AnswerTruncated : ResultCode::DeadlinePassed, runStateOf(request), Duration{0});
     } else if (request.accepted) {
         // The attempt goes on: a repeat finds its answer.
         refuse(request, ResultCode::OutcomeUnknown, RunState::Unknown, Duration{0});
--- a/src/membership/configagent.h
+++ b/src/membership/configagent.h
@@ -40,6 +40,8 @@
 
     /// Starts, watches and fetches as due. Call about ten times a second.
     void tick(Instant now);
+    /// Without a majority of its region a node watches the store itself, since its watchers may be out of reach.
+    void setWithoutMajority(bool withoutMajority);
     /// An encoded configuration from a member.
     void onOffered(int64_t revision, std::string_view stored);
     /// A gossip record under CONFIG_RECORD says that @p member's revision exists.
@@ -69,6 +71,7 @@
     int64_t rejectedRevision_ = 0;
     std::string source_; ///< Member that named heardRevision_.
     bool watching_ = false;
+    bool withoutMajority_ = false;
     bool asked_ = false; ///< The store has answered or failed once.
     Instant now_{0};
     Instant confirmedAt_{0};
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -65,6 +65,7 @@
     void probe(Instant now);
     void checkProbe(Instant now);
     void joinIfAlone(Instant now);
+    void reconnect(Instant now);
     void expireSuspects(Instant now);
     void mergeMember(const Member &member, Instant now);
     void mergeRecord(const Record &record, bool urgent, Instant now);
@@ -91,6 +92,7 @@
     Probe probe_;
     Instant nextProbeAt_{0};
     Instant nextJoinAt_{0};
+    Instant nextReconnectAt_{0};
     Instant lastContact_{0};
     uint64_t sequence_ = 0;
     int64_t nextBucket_ = 0;
--- a/src/membership/internal/configagent.cpp
+++ b/src/membership/internal/configagent.cpp
@@ -57,7 +57,7 @@
 void ConfigAgent::tick(Instant now)
 {
     now_ = now;
-    const bool mustAsk = !asked_ || isWatcher();
+    const bool mustAsk = !asked_ || withoutMajority_ || isWatcher();
     if (mustAsk && !watching_ && now >= nextWatchAt_) {
         watch(now);
     }
@@ -67,6 +67,11 @@
     }
 }
 
+void ConfigAgent::setWithoutMajority(bool withoutMajority)
+{
+    withoutMajority_ = withoutMajority;
+}
+
 void ConfigAgent::watch(Instant /*now*/)
 {
     watching_ = true;
--- a/src/membership/internal/gossip.cpp
+++ b/src/membership/internal/gossip.cpp
@@ -20,6 +20,7 @@
 /// Encoded size of a member or record without its strings, in bytes.
 constexpr size_t ITEM_OVERHEAD_BYTES = 32;
 constexpr size_t MAX_RELAYS = 256;
+constexpr Duration RECONNECT_INTERVAL = framework::seconds{2};
 
 bool supersedes(const Member &candidate, const Member &known)
 {
@@ -207,6 +208,7 @@
 void Gossip::tick(Instant now)
 {
     joinIfAlone(now);
+    reconnect(now);
     checkProbe(now);
     expireSuspects(now);
     if (now >= nextProbeAt_) {
@@ -230,6 +232,28 @@
     }
 }
 
+void Gossip::reconnect(Instant now)
+{
+    if (now < nextReconnectAt_) {
+        return;
+    }
+    nextReconnectAt_ = now + RECONNECT_INTERVAL;
+    std::vector<const Member *> dead;
+    for (const auto &[name, member] : members_) {
+        if (member.state == MemberState::Dead) {
+            dead.push_back(&member);
+        }
+    }
+    if (dead.empty()) {
+        return;
+    }
+    // Each side of a healed partition holds the other for dead and would never ask. Told what is held of it, a live member refutes it.
+    const Member &target = *dead[random_() % dead.size()];
+    Packet packet = packetOf(PacketType::Join, 0);
+    packet.members = {members_.find(options_.self.name)->second, target};
+    hooks_.send(target.address, packet);
+}
+
 void Gossip::probe(Instant now)
 {
     if (!probe_.answered) {
@@ -407,8 +431,9 @@
         break;
     }
     case PacketType::Join:
-        for (const Member &member : packet.members) {
-            sendState(member.address, std::nullopt);
+        // Its own record comes first.
+        if (!packet.members.empty()) {
+            sendState(packet.members.front().address, std::nullopt);
         }
         break;
     case PacketType::Sync:
--- a/src/network/tests/network_tests.cpp
+++ b/src/network/tests/network_tests.cpp
@@ -1,5 +1,320 @@
-// Tests of the network library.
+// Tests of the network library over loopback sockets. Waits are bounded; verdicts do not depend on speed.
 
+#include "network/datagramsocket.h"
+#include "network/httpclient.h"
+#include "network/httpserver.h"
+
+#include <pistache/endpoint.h>
+#include <pistache/peer.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+// Last, since its macros replace operator new in what follows.
 #include <CppUTest/TestHarness.h>
 
-TEST_GROUP(Network){};
+using namespace daisymount;
+using framework::milliseconds;
+using framework::ResultCode;
+using network::CallResult;
+using network::ExchangeId;
+
+namespace
+{
+constexpr int WAIT_MS = 5000;
+
+/// A caller with a plain socket, so that a test decides when it hangs up.
+class RawCaller
+{
+public:
+    explicit RawCaller(uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        CHECK(connect(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    }
+
+    ~RawCaller()
+    {
+        hangUp();
+    }
+
+    void request(const std::string &path) const
+    {
+        const std::string text = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        CHECK(::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+
+    void hangUp()
+    {
+        if (descriptor_ >= 0) {
+            close(descriptor_);
+            descriptor_ = -1;
+        }
+    }
+
+    /// Reads until @p marker has come, the connection ends, or the time is up.
+    std::string readUntil(const std::string &marker, int waitMs = WAIT_MS) const
+    {
+        std::string text;
+        pollfd waiting{descriptor_, POLLIN, 0};
+        while (text.find(marker) == std::string::npos && poll(&waiting, 1, waitMs) > 0) {
+            char buffer[4096];
+            const ssize_t got = recv(descriptor_, buffer, sizeof(buffer), 0);
+            if (got <= 0) {
+                break;
+            }
+            text.append(buffer, static_cast<size_t>(got));
+        }
+        return text;
+    }
+
+private:
+    int descriptor_;
+};
+
+/// Events handed from a server's thread to the test's.
+template<typename T>
+class Mailbox
+{
+public:
+    void put(T item)
+    {
+        const std::lock_guard lock(mutex_);
+        items_.push_back(std::move(item));
+        changed_.notify_all();
+    }
+
+    T take()
+    {
+        std::unique_lock lock(mutex_);
+        CHECK(changed_.wait_for(lock, std::chrono::milliseconds{WAIT_MS}, [this] { return !items_.empty(); }));
+        T item = std::move(items_.front());
+        items_.pop_front();
+        return item;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<T> items_;
+};
+
+using PeerPtr = std::shared_ptr<Pistache::Tcp::Peer>;
+
+/// Answers as Pistache's examples do: keeps the peer and writes to it later from another thread.
+class NaiveHandler : public Pistache::Http::Handler
+{
+public:
+    HTTP_PROTOTYPE(NaiveHandler)
+
+    NaiveHandler(Mailbox<PeerPtr> *requests, Mailbox<int> *gone) : requests_(requests), gone_(gone)
+    { }
+
+    void onRequest(const Pistache::Http::Request & /*request*/, Pistache::Http::ResponseWriter response) override
+    {
+        requests_->put(response.getPeer());
+    }
+
+    void onDisconnection(const PeerPtr & /*peer*/) override
+    {
+        gone_->put(1);
+    }
+
+private:
+    Mailbox<PeerPtr> *requests_;
+    Mailbox<int> *gone_;
+};
+
+constexpr const char *LATE_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nFIRST";
+} // namespace
+
+TEST_GROUP(CrossedAnswers){};
+
+TEST(CrossedAnswers, theNaiveWayWritesTheFirstCallersAnswerToTheSecond)
+{
+    Mailbox<PeerPtr> requests;
+    Mailbox<int> gone;
+    Pistache::Http::Endpoint endpoint(Pistache::Address("127.0.0.1:18091"));
+    endpoint.init(Pistache::Http::Endpoint::options().threads(1).flags(Pistache::Tcp::Options::ReuseAddr));
+    endpoint.setHandler(std::make_shared<NaiveHandler>(&requests, &gone));
+    endpoint.serveThreaded();
+    RawCaller first(18091);
+    first.request("/first");
+    const PeerPtr peer = requests.take();
+    first.hangUp();
+    gone.take();
+    RawCaller second(18091);
+    second.request("/second");
+    const PeerPtr reused = requests.take();
+    const std::string late = LATE_ANSWER;
+    peer->send(Pistache::RawBuffer(late, late.size()));
+    const std::string got = second.readUntil("FIRST");
+    endpoint.shutdown();
+    LONGS_EQUAL(peer->fd(), reused->fd());
+    STRCMP_CONTAINS("FIRST", got.c_str());
+}
+
+TEST(CrossedAnswers, thisServerNeverDoes)
+{
+    Mailbox<ExchangeId> requests;
+    Mailbox<ExchangeId> gone;
+    network::HttpServer server({"127.0.0.1:18092", 1000},
+                               {[&](network::HttpRequest request) { requests.put(request.exchange); }, [&](ExchangeId exchange) { gone.put(exchange); }});
+    const auto port = server.makePort();
+    CHECK(static_cast<bool>(server.start()));
+    for (int round = 0; round < 20; ++round) {
+        RawCaller first(18092);
+        first.request("/first");
+        const ExchangeId old = requests.take();
+        first.hangUp();
+        CHECK(gone.take() == old);
+        RawCaller second(18092);
+        second.request("/second");
+        const ExchangeId current = requests.take();
+        CHECK(current != old);
+        port->reply(old, {200, "text/plain", {}, "FIRST"});
+        port->sendChunk(old, "FIRST");
+        port->reply(current, {200, "text/plain", {}, "SECOND"});
+        const std::string got = second.readUntil("SECOND");
+        STRCMP_CONTAINS("SECOND", got.c_str());
+        CHECK(got.find("FIRST") == std::string::npos);
+    }
+    LONGS_EQUAL(40, server.counters().droppedWrites);
+    server.stop();
+}
+
+TEST(CrossedAnswers, anAnswerToAnEndedExchangeIsDroppedThoughItsConnectionLives)
+{
+    Mailbox<ExchangeId> requests;
+    network::HttpServer server({"127.0.0.1:18093", 1000}, {[&](network::HttpRequest request) { requests.put(request.exchange); }, [](ExchangeId) {}});
+    const auto port = server.makePort();
+    CHECK(static_cast<bool>(server.start()));
+    RawCaller caller(18093);
+    caller.request("/one");
+    const ExchangeId one = requests.take();
+    port->reply(one, {200, "text/plain", {}, "ONE"});
+    STRCMP_CONTAINS("ONE", caller.readUntil("ONE").c_str());
+    caller.request("/two");
+    const ExchangeId two = requests.take();
+    port->reply(one, {200, "text/plain", {}, "LATE"});
+    port->reply(two, {200, "text/plain", {}, "TWO"});
+    const std::string got = caller.readUntil("TWO");
+    CHECK(got.find("LATE") == std::string::npos);
+    STRCMP_CONTAINS("TWO", got.c_str());
+    server.stop();
+}
+
+TEST_GROUP(HttpClientAndServer)
+{
+    network::HttpServer *server = nullptr;
+    std::unique_ptr<network::ReplyPort> replies;
+    Mailbox<ExchangeId> requests;
+    Mailbox<ExchangeId> gone;
+    network::HttpClient client;
+    network::DutyThread duty{"test", milliseconds{5}};
+    std::shared_ptr<network::Inbox> inbox;
+    std::unique_ptr<network::ClientPort> port;
+    Mailbox<CallResult> results;
+    std::string body;
+
+    void setup() override
+    {
+        server = new network::HttpServer(
+            {"127.0.0.1:18094", 1000},
+            {[this](network::HttpRequest request) { requests.put(request.exchange); }, [this](ExchangeId exchange) { gone.put(exchange); }});
+        replies = server->makePort();
+        inbox = duty.makeInbox();
+        port = client.makePort(duty);
+        duty.start({[] {}, {}, -1});
+        client.start();
+        CHECK(static_cast<bool>(server->start()));
+    }
+
+    void teardown() override
+    {
+        duty.stop();
+        client.stop();
+        server->stop();
+        delete server;
+    }
+
+    void call(const std::string &url, std::atomic<network::CallId> *id = nullptr)
+    {
+        inbox->post([this, url, id] {
+            network::HttpCall request;
+            request.url = url;
+            network::HttpCallHooks hooks;
+            hooks.data = [this](int, std::string_view bytes) { body += bytes; };
+            hooks.done = [this](CallResult result, int) { results.put(result); };
+            const network::CallId started = port->start(std::move(request), std::move(hooks));
+            if (id != nullptr) {
+                *id = started;
+            }
+        });
+    }
+};
+
+TEST(HttpClientAndServer, carriesAStream)
+{
+    call("http://127.0.0.1:18094/x");
+    const ExchangeId exchange = requests.take();
+    replies->beginStream(exchange, 200, "text/event-stream");
+    replies->sendChunk(exchange, "one ");
+    replies->sendChunk(exchange, "two");
+    replies->endStream(exchange);
+    CHECK(results.take() == CallResult::Complete);
+    STRCMP_EQUAL("one two", body.c_str());
+}
+
+TEST(HttpClientAndServer, aBrokenStreamIsNotComplete)
+{
+    call("http://127.0.0.1:18094/x");
+    const ExchangeId exchange = requests.take();
+    replies->beginStream(exchange, 200, "text/event-stream");
+    replies->sendChunk(exchange, "one ");
+    replies->abort(exchange);
+    CHECK(results.take() == CallResult::Broken);
+}
+
+TEST(HttpClientAndServer, nothingWasSentWhereNobodyListens)
+{
+    call("http://127.0.0.1:18099/x");
+    CHECK(results.take() == CallResult::NotConnected);
+}
+
+TEST(HttpClientAndServer, aCancelledCallIsSeenByTheServer)
+{
+    std::atomic<network::CallId> id{0};
+    call("http://127.0.0.1:18094/x", &id);
+    const ExchangeId exchange = requests.take();
+    inbox->post([this, &id] { port->cancel(id); });
+    CHECK(gone.take() == exchange);
+}
+
+TEST_GROUP(DatagramSocket){};
+
+TEST(DatagramSocket, carriesDatagramsAndRefusesBadAddresses)
+{
+    network::DatagramSocket left;
+    network::DatagramSocket right;
+    CHECK(static_cast<bool>(left.bind("127.0.0.1:18095")));
+    CHECK(static_cast<bool>(right.bind("127.0.0.1:18096")));
+    CHECK(!network::DatagramSocket().bind("nowhere:1"));
+    left.send("127.0.0.1:18096", "hello");
+    pollfd waiting{right.descriptor(), POLLIN, 0};
+    LONGS_EQUAL(1, poll(&waiting, 1, WAIT_MS));
+    std::string got;
+    right.drain([&](std::string_view data) { got = data; });
+    STRCMP_EQUAL("hello", got.c_str());
+}
--- a/src/node/internal/controlplane.cpp
+++ b/src/node/internal/controlplane.cpp
@@ -123,7 +123,9 @@
     }
     const Duration staleAfter = config().config.membership.staleAfter;
     const bool storeConfirms = agent_->confirmedAt() > Instant{0} && now - agent_->confirmedAt() < staleAfter;
-    if (!started_ || storeConfirms || hasMajority()) {
+    const bool majority = hasMajority();
+    agent_->setWithoutMajority(!majority);
+    if (!started_ || storeConfirms || majority) {
         started_ = true;
         lastMajorityAt_ = now;
     }
--- a/src/platform/fakeplatformstore.h
+++ b/src/platform/fakeplatformstore.h
@@ -36,6 +36,8 @@
 
     /// Delivers all pending answers, including those that they cause.
     void step();
+    /// Ends all waiting watches, as the service does after its wait limit.
+    void expireWatches();
     /// Delivers the answers that are pending now and no later ones.
     void stepOnce();
 
--- a/src/platform/internal/fakeplatformstore.cpp
+++ b/src/platform/internal/fakeplatformstore.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+void FakePlatformStore::expireWatches()
+{
+    std::deque<Watch> waiting;
+    waiting.swap(watches_);
+    for (Watch &watch : waiting) {
+        const Ret ret = faults_.down ? Ret{ResultCode::StoreDown, "down"} : Ret{};
+        answer([handler = std::move(watch.handler), ret, value = peek(watch.key)] { handler(ret, value); });
+    }
+}
+
 StoreFaults &FakePlatformStore::faults()
 {
     return faults_;
--- a/src/platform/tests/platform_tests.cpp
+++ b/src/platform/tests/platform_tests.cpp
@@ -1,5 +1,61 @@
-// Tests of the platform library.
+// Tests of the platform store's fake: tests elsewhere rely on its faults.
+
+#include "platform/fakeplatformstore.h"
 
 #include <CppUTest/TestHarness.h>
 
-TEST_GROUP(placeholder_platform){};
+using namespace daisymount;
+using framework::ResultCode;
+using framework::Ret;
+using platform::VersionedValue;
+
+TEST_GROUP(FakePlatformStore)
+{
+    platform::FakePlatformStore store;
+    ResultCode code = ResultCode::Internal;
+    int64_t revision = 0;
+
+    void write(const char *key, int64_t expected, const char *value)
+    {
+        store.compareAndSwap(key, expected, value, [this](const Ret &ret, int64_t at) {
+            code = ret.code;
+            revision = at;
+        });
+        store.step();
+    }
+};
+
+TEST(FakePlatformStore, comparesTheRevision)
+{
+    write("k", 0, "a");
+    LONGS_EQUAL(static_cast<int>(ResultCode::Ok), static_cast<int>(code));
+    write("k", 0, "b");
+    LONGS_EQUAL(static_cast<int>(ResultCode::CasConflict), static_cast<int>(code));
+    STRCMP_EQUAL("a", store.peek("k").value.c_str());
+}
+
+TEST(FakePlatformStore, losesRepliesOfWritesThatTookEffect)
+{
+    store.faults().loseWriteReplies = true;
+    write("k", 0, "a");
+    LONGS_EQUAL(static_cast<int>(ResultCode::ReplyLost), static_cast<int>(code));
+    STRCMP_EQUAL("a", store.peek("k").value.c_str());
+}
+
+TEST(FakePlatformStore, losesWrites)
+{
+    store.faults().loseWrites = true;
+    write("k", 0, "a");
+    LONGS_EQUAL(static_cast<int>(ResultCode::ReplyLost), static_cast<int>(code));
+    LONGS_EQUAL(0, store.peek("k").revision);
+}
+
+TEST(FakePlatformStore, answersAWatchOnTheNextWrite)
+{
+    std::string seen;
+    store.watch("k", 0, [&](const Ret &, const VersionedValue &value) { seen = value.value; });
+    store.step();
+    STRCMP_EQUAL("", seen.c_str());
+    write("k", 0, "a");
+    STRCMP_EQUAL("a", seen.c_str());
+}
