--- /dev/null
+++ b/src/expertmap/internal/placement.cpp
@@ -0,0 +1,330 @@
+// Placement policies.
+
+#include "expertmap/placement.h"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+#include <queue>
+
+namespace daisymount::expertmap
+{
+
+namespace
+{
+/// A step must lower the highest load by at least this share of the mean load per move, or it is not worth its bytes.
+constexpr double MIN_GAIN_PER_MOVE = 0.002;
+
+/// One change of the map: expert @ref expert goes into @ref slot; for a swap the other way round as well.
+struct Step
+{
+    int slot = -1;
+    int expert = -1;
+    int otherSlot = -1; ///< -1 for a replication.
+    double peak = 0.0; ///< Highest load among the ranks that change.
+    int moves() const
+    {
+        return otherSlot < 0 ? 1 : 2;
+    }
+};
+
+/// Search state of one layer.
+class IncrementalSearch
+{
+public:
+    IncrementalSearch(LayerMap map, std::span<const double> expertLoads, const PlacementOptions &options)
+        : map_(std::move(map))
+        , expertLoads_(expertLoads)
+        , options_(options)
+        , loads_(rankLoads(map_, expertLoads))
+        , mean_(std::accumulate(loads_.begin(), loads_.end(), 0.0) / static_cast<double>(loads_.size()))
+    {
+        for (int slot = 0; slot < map_.slots(); ++slot) {
+            slotsOfExpert_.resize(static_cast<size_t>(map_.experts()));
+            slotsOfExpert_[static_cast<size_t>(map_.expertAt(slot))].push_back(slot);
+        }
+    }
+
+    LayerMap run()
+    {
+        int moves = 0;
+        while (mean_ > 0.0 && moves < options_.maxMoves) {
+            const int hottest = static_cast<int>(std::max_element(loads_.begin(), loads_.end()) - loads_.begin());
+            if (loadOf(hottest) <= mean_ * options_.targetSkew) {
+                break;
+            }
+            const std::optional<Step> step = bestStep(hottest);
+            if (!step || moves + step->moves() > options_.maxMoves) {
+                break;
+            }
+            moves += step->moves();
+            apply(*step);
+        }
+        return map_;
+    }
+
+private:
+    double loadOf(int rank) const
+    {
+        return loads_[static_cast<size_t>(rank)];
+    }
+
+    double shareOf(int expert) const
+    {
+        return expertLoads_[static_cast<size_t>(expert)] / map_.replicas(expert);
+    }
+
+    int vmOf(int rank) const
+    {
+        return rank / options_.ranksPerVm;
+    }
+
+    /// True when @p expert may also go to @p rank, not counting the copy in @p exceptSlot.
+    bool mayHold(int rank, int expert, int exceptSlot) const
+    {
+        const bool oneVm = options_.ranksPerVm >= map_.ranks();
+        for (const int slot : slotsOfExpert_[static_cast<size_t>(expert)]) {
+            if (slot == exceptSlot) {
+                continue;
+            }
+            const int holder = map_.rankOf(slot);
+            if (holder == rank || (!oneVm && vmOf(holder) == vmOf(rank))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::optional<Step> bestStep(int hottest) const
+    {
+        std::optional<Step> best;
+        double bestGain = 0.0;
+        const auto consider = [&](const Step &step) {
+            const double gain = (loadOf(hottest) - step.peak) / step.moves();
+            if (gain > bestGain && gain >= MIN_GAIN_PER_MOVE * mean_) {
+                bestGain = gain;
+                best = step;
+            }
+        };
+        const int first = hottest * map_.slotsPerRank();
+        for (int slot = first; slot < first + map_.slotsPerRank(); ++slot) {
+            considerReplications(hottest, map_.expertAt(slot), consider);
+            considerSwaps(hottest, slot, consider);
+            considerDrop(hottest, slot, consider);
+        }
+        return best;
+    }
+
+    /// A redundant copy elsewhere gives its slot to @p hot.
+    template<typename Consider>
+    void considerReplications(int hottest, int hot, const Consider &consider) const
+    {
+        const double hotBefore = shareOf(hot);
+        const double hotAfter = expertLoads_[static_cast<size_t>(hot)] / (map_.replicas(hot) + 1);
+        for (int slot = 0; slot < map_.slots(); ++slot) {
+            const int target = map_.rankOf(slot);
+            const int displaced = map_.expertAt(slot);
+            if (target == hottest || displaced == hot || map_.replicas(displaced) < 2 || !mayHold(target, hot, -1)) {
+                continue;
+            }
+            const double displacedBefore = shareOf(displaced);
+            const double displacedAfter = expertLoads_[static_cast<size_t>(displaced)] / (map_.replicas(displaced) - 1);
+            double peak = loadOf(target) - displacedBefore + hotAfter;
+            const auto changed = [&](int rank) {
+                double load = loadOf(rank);
+                load += map_.holds(rank, hot) ? hotAfter - hotBefore : 0.0;
+                load += map_.holds(rank, displaced) ? displacedAfter - displacedBefore : 0.0;
+                return load;
+            };
+            peak = std::max(peak, changed(hottest));
+            for (const int other : slotsOfExpert_[static_cast<size_t>(displaced)]) {
+                if (other != slot) {
+                    peak = std::max(peak, changed(map_.rankOf(other)));
+                }
+            }
+            consider(Step{slot, hot, -1, peak});
+        }
+    }
+
+    /// A redundant copy on the hottest rank gives its slot to a colder expert from elsewhere, as another replica of that.
+    template<typename Consider>
+    void considerDrop(int hottest, int slot, const Consider &consider) const
+    {
+        const int dropped = map_.expertAt(slot);
+        if (map_.replicas(dropped) < 2) {
+            return;
+        }
+        const double droppedBefore = shareOf(dropped);
+        const double droppedAfter = expertLoads_[static_cast<size_t>(dropped)] / (map_.replicas(dropped) - 1);
+        double othersPeak = 0.0;
+        for (const int other : slotsOfExpert_[static_cast<size_t>(dropped)]) {
+            if (other != slot) {
+                othersPeak = std::max(othersPeak, loadOf(map_.rankOf(other)) - droppedBefore + droppedAfter);
+            }
+        }
+        for (int expert = 0; expert < map_.experts(); ++expert) {
+            if (expert == dropped || !mayHold(hottest, expert, -1)) {
+                continue;
+            }
+            const double added = expertLoads_[static_cast<size_t>(expert)] / (map_.replicas(expert) + 1);
+            consider(Step{slot, expert, -1, std::max(othersPeak, loadOf(hottest) - droppedBefore + added)});
+        }
+    }
+
+    template<typename Consider>
+    void considerSwaps(int hottest, int slot, const Consider &consider) const
+    {
+        const int hot = map_.expertAt(slot);
+        const double hotShare = shareOf(hot);
+        for (int other = 0; other < map_.slots(); ++other) {
+            const int target = map_.rankOf(other);
+            const int cold = map_.expertAt(other);
+            const double coldShare = shareOf(cold);
+            if (target == hottest || hot == cold || coldShare >= hotShare) {
+                continue;
+            }
+            if (!mayHold(target, hot, slot) || !mayHold(hottest, cold, other)) {
+                continue;
+            }
+            const double delta = hotShare - coldShare;
+            consider(Step{slot, cold, other, std::max(loadOf(hottest) - delta, loadOf(target) + delta)});
+        }
+    }
+
+    void place(int slot, int expert)
+    {
+        std::erase(slotsOfExpert_[static_cast<size_t>(map_.expertAt(slot))], slot);
+        slotsOfExpert_[static_cast<size_t>(expert)].push_back(slot);
+        map_.setExpert(slot, expert);
+    }
+
+    void apply(const Step &step)
+    {
+        const int leaving = map_.expertAt(step.slot);
+        place(step.slot, step.expert);
+        if (step.otherSlot >= 0) {
+            place(step.otherSlot, leaving);
+        }
+        loads_ = rankLoads(map_, expertLoads_);
+    }
+
+    LayerMap map_;
+    std::span<const double> expertLoads_;
+    const PlacementOptions &options_;
+    std::vector<double> loads_;
+    double mean_;
+    std::vector<std::vector<int>> slotsOfExpert_;
+};
+
+/// Copies per expert when every spare slot goes to the expert with the highest load per copy.
+std::vector<int> copiesByLoad(std::span<const double> expertLoads, int slots, int maxCopies)
+{
+    std::vector<int> copies(expertLoads.size(), 1);
+    std::priority_queue<std::pair<double, size_t>> queue;
+    for (size_t expert = 0; expert < expertLoads.size(); ++expert) {
+        queue.emplace(expertLoads[expert], expert);
+    }
+    for (int spare = slots - static_cast<int>(expertLoads.size()); spare > 0 && !queue.empty();) {
+        const size_t expert = queue.top().second;
+        queue.pop();
+        if (copies[expert] >= maxCopies) {
+            continue;
+        }
+        ++copies[expert];
+        --spare;
+        queue.emplace(expertLoads[expert] / copies[expert], expert);
+    }
+    return copies;
+}
+} // namespace
+
+PlacementPolicy incrementalPlacement(const PlacementOptions &options)
+{
+    return [options](const LayerMap &current, std::span<const double> expertLoads) { return IncrementalSearch(current, expertLoads, options).run(); };
+}
+
+PlacementPolicy fullRecompute(const PlacementOptions &options)
+{
+    return [options](const LayerMap &current, std::span<const double> expertLoads) {
+        const int ranks = current.ranks();
+        const int vms = std::max(1, (ranks + options.ranksPerVm - 1) / options.ranksPerVm);
+        const std::vector<int> copies = copiesByLoad(expertLoads, current.slots(), vms > 1 ? vms : ranks);
+        std::vector<std::pair<double, int>> items;
+        for (size_t expert = 0; expert < expertLoads.size(); ++expert) {
+            for (int copy = 0; copy < copies[expert]; ++copy) {
+                items.emplace_back(expertLoads[expert] / copies[expert], static_cast<int>(expert));
+            }
+        }
+        std::stable_sort(items.begin(), items.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+        LayerMap next(ranks, current.slotsPerRank(), current.experts());
+        std::vector<double> loads(static_cast<size_t>(ranks), 0.0);
+        std::vector<std::vector<int>> held(static_cast<size_t>(ranks));
+        for (const auto &[load, expert] : items) {
+            const auto conflicts = [&](int rank) {
+                const int vm = rank / options.ranksPerVm;
+                for (int other = 0; other < ranks; ++other) {
+                    const bool near = other == rank || (vms > 1 && other / options.ranksPerVm == vm);
+                    const auto &experts = held[static_cast<size_t>(other)];
+                    if (near && std::find(experts.begin(), experts.end(), expert) != experts.end()) {
+                        return true;
+                    }
+                }
+                return false;
+            };
+            int best = -1;
+            bool bestConflicts = true;
+            for (int rank = 0; rank < ranks; ++rank) {
+                const auto index = static_cast<size_t>(rank);
+                if (static_cast<int>(held[index].size()) >= current.slotsPerRank()) {
+                    continue;
+                }
+                const bool conflict = conflicts(rank);
+                const bool better = best < 0 || (bestConflicts && !conflict) || (bestConflicts == conflict && loads[index] < loads[static_cast<size_t>(best)]);
+                if (better) {
+                    best = rank;
+                    bestConflicts = conflict;
+                }
+            }
+            held[static_cast<size_t>(best)].push_back(expert);
+            loads[static_cast<size_t>(best)] += load;
+        }
+        for (int rank = 0; rank < ranks; ++rank) {
+            for (int slot = 0; slot < current.slotsPerRank(); ++slot) {
+                next.setExpert(rank * current.slotsPerRank() + slot, held[static_cast<size_t>(rank)][static_cast<size_t>(slot)]);
+            }
+        }
+        PlacementOptions refinement = options;
+        refinement.maxMoves = current.slots();
+        return IncrementalSearch(next, expertLoads, refinement).run();
+    };
+}
+
+PlacementPolicy staticPlacement()
+{
+    return [](const LayerMap &current, std::span<const double> /*expertLoads*/) { return current; };
+}
+
+bool survivesVmLoss(const LayerMap &map, int ranksPerVm)
+{
+    for (int expert = 0; expert < map.experts(); ++expert) {
+        if (map.replicas(expert) < 2) {
+            continue;
+        }
+        int firstVm = -1;
+        bool spread = false;
+        for (int rank = 0; rank < map.ranks(); ++rank) {
+            if (!map.holds(rank, expert)) {
+                continue;
+            }
+            const int vm = rank / ranksPerVm;
+            spread = spread || (firstVm >= 0 && vm != firstVm);
+            firstVm = firstVm < 0 ? vm : firstVm;
+        }
+        if (!spread) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace daisymount::expertmap
--- /dev/null
+++ b/src/expertmap/internal/rebalancepolicy.cpp
@@ -0,0 +1,63 @@
+// Rebalance policy.
+
+#include "expertmap/rebalancepolicy.h"
+
+namespace daisymount::expertmap
+{
+
+std::string_view toString(RebalanceReason reason)
+{
+    switch (reason) {
+    case RebalanceReason::Apply:
+        return "apply";
+    case RebalanceReason::BelowTrigger:
+        return "below_trigger";
+    case RebalanceReason::TooSoon:
+        return "too_soon";
+    case RebalanceReason::NotWorthIt:
+        return "not_worth_it";
+    case RebalanceReason::OtherGroup:
+        return "other_group";
+    case RebalanceReason::BillingPeak:
+        return "billing_peak";
+    case RebalanceReason::ZoneLeaving:
+        return "zone_leaving";
+    case RebalanceReason::StoreDown:
+        return "store_down";
+    case RebalanceReason::RankStalled:
+        break;
+    }
+    return "rank_stalled";
+}
+
+RebalanceDecision decideRebalance(const RebalanceSettings &settings, const RebalanceView &view)
+{
+    RebalanceDecision decision;
+    const double horizonSeconds = std::chrono::duration<double>(settings.horizon).count();
+    const double loadSeconds = view.movedExperts * settings.bytesPerExpert / settings.bytesPerSecond;
+    decision.gainSeconds = horizonSeconds * (view.currentSkew - view.predictedSkew) / view.currentSkew;
+    decision.costSeconds = loadSeconds * settings.disturbance;
+    const bool early = view.lastChange > Instant{0} && view.now - view.lastChange < settings.minInterval;
+    if (view.storeDown) {
+        decision.reason = RebalanceReason::StoreDown;
+    } else if (view.zoneLeaving) {
+        decision.reason = RebalanceReason::ZoneLeaving;
+    } else if (view.rankStalled) {
+        decision.reason = RebalanceReason::RankStalled;
+    } else if (view.currentSkew < settings.triggerSkew) {
+        decision.reason = RebalanceReason::BelowTrigger;
+    } else if (early) {
+        decision.reason = RebalanceReason::TooSoon;
+    } else if (view.otherGroupChanging) {
+        decision.reason = RebalanceReason::OtherGroup;
+    } else if (view.atBillingPeak) {
+        decision.reason = RebalanceReason::BillingPeak;
+    } else if (decision.gainSeconds < decision.costSeconds * settings.minGainRatio || decision.gainSeconds <= 0.0) {
+        decision.reason = RebalanceReason::NotWorthIt;
+    } else {
+        decision.reason = RebalanceReason::Apply;
+    }
+    return decision;
+}
+
+} // namespace daisymount::expertmap
--- /dev/null
+++ b/src/expertmap/tests/expertmap_tests.cpp
@@ -0,0 +1,195 @@
+// Tests of the expert-map library: load, placement, when to move.
+
+#include "expertmap/loadtracker.h"
+#include "expertmap/placement.h"
+#include "expertmap/rebalancepolicy.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace daisymount;
+using namespace daisymount::expertmap;
+using framework::seconds;
+
+namespace
+{
+std::vector<double> zipf(int experts, double exponent, uint64_t seed)
+{
+    std::vector<double> loads;
+    for (int i = 1; i <= experts; ++i) {
+        loads.push_back(1000.0 / std::pow(i, exponent));
+    }
+    std::mt19937_64 random(seed);
+    std::shuffle(loads.begin(), loads.end(), random);
+    return loads;
+}
+} // namespace
+
+TEST_GROUP(Placement)
+{
+    PlacementOptions options{8, 64, 1.02};
+    LayerMap start = LayerMap::contiguous(32, 5, 128);
+
+    static double skew(const LayerMap &map, const std::vector<double> &loads)
+    {
+        return skewOf(rankLoads(map, loads));
+    }
+};
+
+TEST(Placement, theStartHoldsEveryExpertAndSurvivesAVmLoss)
+{
+    for (int expert = 0; expert < 128; ++expert) {
+        CHECK(start.replicas(expert) >= 1);
+    }
+    CHECK(survivesVmLoss(start, 8));
+}
+
+TEST(Placement, incrementalEvensOutAndKeepsEveryExpert)
+{
+    const auto loads = zipf(128, 0.6, 1);
+    const LayerMap next = incrementalPlacement(options)(start, loads);
+    CHECK(skew(next, loads) < skew(start, loads));
+    CHECK(skew(next, loads) <= 1.05);
+    CHECK(movedExperts(start, next) <= options.maxMoves);
+    for (int expert = 0; expert < 128; ++expert) {
+        CHECK(next.replicas(expert) >= 1);
+    }
+    CHECK(survivesVmLoss(next, 8));
+}
+
+TEST(Placement, evenLoadMovesNothing)
+{
+    const std::vector<double> even(128, 10.0);
+    std::vector<double> singles = even;
+    // Experts with two copies carry half per copy: even per rank means no move.
+    const LayerMap next = incrementalPlacement(options)(start, singles);
+    LONGS_EQUAL(0, movedExperts(start, next));
+}
+
+TEST(Placement, theBoundOnMovesHolds)
+{
+    options.maxMoves = 3;
+    const LayerMap next = incrementalPlacement(options)(start, zipf(128, 1.2, 2));
+    CHECK(movedExperts(start, next) <= 3);
+}
+
+TEST(Placement, noLoadMovesNothing)
+{
+    LONGS_EQUAL(0, movedExperts(start, incrementalPlacement(options)(start, std::vector<double>(128, 0.0))));
+}
+
+TEST(Placement, fullRecomputeIsEvenAndComplete)
+{
+    const auto loads = zipf(128, 0.6, 3);
+    const LayerMap next = fullRecompute(options)(start, loads);
+    CHECK(skew(next, loads) <= 1.05);
+    for (int expert = 0; expert < 128; ++expert) {
+        CHECK(next.replicas(expert) >= 1);
+    }
+}
+
+TEST_GROUP(LoadTracker)
+{
+    LoadTracker tracker{1, 2, 4, seconds{10}};
+
+    void report(int rank, uint64_t sequence, int64_t toSecond, double tokens, double stepMs = 10)
+    {
+        tracker.onReport({0, rank, sequence, seconds{toSecond - 1}, seconds{toSecond}, {{rank * 2, tokens}, {rank * 2 + 1, tokens}}, stepMs});
+    }
+};
+
+TEST(LoadTracker, averagesDriftTowardsNewSamples)
+{
+    report(0, 1, 1, 100);
+    for (int i = 2; i < 12; ++i) {
+        report(0, static_cast<uint64_t>(i), i, 200);
+    }
+    const double rate = tracker.loads(0)[0];
+    CHECK(rate > 140 && rate < 160);
+}
+
+TEST(LoadTracker, ignoresOldAndDoubledReports)
+{
+    report(0, 5, 5, 100);
+    report(0, 5, 5, 900);
+    report(0, 4, 4, 900);
+    DOUBLES_EQUAL(100, tracker.loads(0)[0], 1e-6);
+    CHECK(!tracker.complete(0));
+}
+
+TEST(LoadTracker, aGapAgesTheAverage)
+{
+    report(0, 1, 1, 100);
+    report(0, 2, 101, 200);
+    CHECK(tracker.loads(0)[0] > 199);
+}
+
+TEST(LoadTracker, tellsAStalledRankFromAnOverloadedOne)
+{
+    LoadTracker four(1, 4, 4, seconds{10});
+    for (int rank = 0; rank < 4; ++rank) {
+        const double stepMs = rank == 0 ? 40 : rank == 1 ? 30 : 10;
+        const double tokens = rank == 1 ? 300 : 100;
+        four.onReport({0, rank, 1, seconds{0}, seconds{1}, {{rank, tokens}}, stepMs});
+    }
+    CHECK(four.condition(0) == RankCondition::Stalled);
+    CHECK(four.condition(1) == RankCondition::Overloaded);
+    CHECK(four.condition(2) == RankCondition::Normal);
+}
+
+TEST_GROUP(RebalancePolicy)
+{
+    RebalanceSettings settings;
+    RebalanceView view;
+
+    void setup() override
+    {
+        view.currentSkew = 1.3;
+        view.predictedSkew = 1.03;
+        view.movedExperts = 100;
+        view.now = seconds{1000};
+    }
+
+    void expect(RebalanceReason reason)
+    {
+        STRCMP_EQUAL(std::string(toString(reason)).c_str(), std::string(toString(decideRebalance(settings, view).reason)).c_str());
+    }
+};
+
+TEST(RebalancePolicy, appliesAGainThatOutweighsItsCost)
+{
+    expect(RebalanceReason::Apply);
+    CHECK(decideRebalance(settings, view).gainSeconds > 100);
+}
+
+TEST(RebalancePolicy, holdsBack)
+{
+    view.otherGroupChanging = true;
+    expect(RebalanceReason::OtherGroup);
+    view.otherGroupChanging = false;
+    view.atBillingPeak = true;
+    expect(RebalanceReason::BillingPeak);
+    view.zoneLeaving = true;
+    expect(RebalanceReason::ZoneLeaving);
+    view.storeDown = true;
+    expect(RebalanceReason::StoreDown);
+}
+
+TEST(RebalancePolicy, doesNotMoveForLittleOrTooOften)
+{
+    view.currentSkew = 1.04;
+    expect(RebalanceReason::BelowTrigger);
+    view.currentSkew = 1.06;
+    view.predictedSkew = 1.059;
+    view.movedExperts = 7680;
+    expect(RebalanceReason::NotWorthIt);
+    view.lastChange = seconds{990};
+    expect(RebalanceReason::TooSoon);
+}
+
+TEST(RebalancePolicy, doesNotTakeAStalledRankForAnOverloadedOne)
+{
+    view.rankStalled = true;
+    expect(RebalanceReason::RankStalled);
+}
