--- a/src/config/internal/configloader.cpp
+++ b/src/config/internal/configloader.cpp
@@ -278,6 +278,7 @@
         }
     }
     std::vector<std::string> result;
+    result.reserve(lines.size());
     for (auto &[key, line] : lines) {
         result.push_back(std::move(line));
     }
--- a/src/ctl/burnreport.cpp
+++ b/src/ctl/burnreport.cpp
@@ -197,12 +197,13 @@
 {
     std::ostringstream out;
     out << "groups:\n  - name: daisymount\n    rules:\n";
-    for (const auto &[name, service] : config.services) {
-        const double answeredBudget = 1.0 - service.objectives.answeredTarget;
-        const double latencyBudget = 1.0 - service.objectives.target;
-        const double firstToken = std::chrono::duration<double>(service.objectives.firstToken).count();
-        const auto rule = [&](const std::string &alert, const std::string &expression, const std::string &window) {
-            out << "      - alert: " << alert << "\n        expr: " << expression << "\n        labels: {service: " << name << ", window: " << window << "}\n";
+    for (const auto &[name, settings] : config.services) {
+        const double answeredBudget = 1.0 - settings.objectives.answeredTarget;
+        const double latencyBudget = 1.0 - settings.objectives.target;
+        const double firstToken = std::chrono::duration<double>(settings.objectives.firstToken).count();
+        const auto rule = [&out, &service = name](const std::string &alert, const std::string &expression, const std::string &window) {
+            out << "      - alert: " << alert << "\n        expr: " << expression << "\n        labels: {service: " << service << ", window: " << window
+                << "}\n";
         };
         const std::string selector = "{service=\"" + name + "\"";
         for (const auto &[window, burn] : {std::pair<std::string, double>{"5m", FAST_BURN}, {"1h", SLOW_BURN}}) {
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -58,6 +58,7 @@
         worker.join();
     }
     std::vector<NodeAnswer> answers;
+    answers.reserve(targets.size());
     for (Target &target : targets) {
         answers.push_back(std::move(target.answer));
     }
--- a/src/daemon/callergateway.cpp
+++ b/src/daemon/callergateway.cpp
@@ -68,7 +68,7 @@
     if (found == requestOf_.end()) {
         return {};
     }
-    const std::string request = found->second;
+    std::string request = found->second;
     requestOf_.erase(found);
     open_.erase(request);
     return request;
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -2,12 +2,9 @@
 
 #include "daemon/entrydaemon.h"
 
-#include "entry/entrymessages.h"
 #include "framework/hash.h"
 #include "framework/json.h"
 
-#include <algorithm>
-
 namespace daisymount::daemon
 {
 
@@ -17,27 +14,14 @@
 using framework::ResultCode;
 using framework::Ret;
 using membership::Member;
-using membership::MemberState;
 using membership::Record;
 
 namespace
 {
 constexpr Duration REQUEST_TICK = framework::milliseconds{10};
-constexpr Duration PUBLISH_INTERVAL = framework::milliseconds{250};
 constexpr Duration BURN_INTERVAL = framework::seconds{1};
 /// Added to the time to live of address answers before a draining entry refuses.
 constexpr Duration DRAIN_MARGIN = framework::milliseconds{500};
-constexpr size_t ADDRESSES_PER_ANSWER = 3;
-constexpr std::string_view DEMAND_PREFIX = "demand/";
-constexpr std::string_view USAGE_PREFIX = "usage/";
-constexpr std::string_view CRASH_PREFIX = "crash/";
-constexpr std::string_view CONVICTION_PREFIX = "convicted/";
-constexpr std::string_view VM_PREFIX = "vm/";
-
-bool hasPrefix(std::string_view text, std::string_view prefix)
-{
-    return text.substr(0, prefix.size()) == prefix;
-}
 
 claims::ClaimsOptions claimsOptions(const NodeSettings &settings)
 {
@@ -99,17 +83,29 @@
                    });
                }})
     , store_("http://" + settings.storeAddress, client_.makePort(requests_))
+    , entryControl_(settings.name, entryControlHooks())
     , router_(routerOptions(settings))
     , claims_(claimsOptions(settings), store_,
-              {[this] { return liveEntries(); }, [this](std::string_view home, const claims::ForwardedRecord &record) { forward(home, record); }})
+              {[this] { return entryControl_.liveEntries(); },
+               [this](std::string_view home, const claims::ForwardedRecord &record) { entryControl_.forward(home, record); }})
     , transport_(client_.makePort(requests_),
                  [this](attempts::AttemptId attempt, const attempts::AttemptEvent &event) { core_.onAttemptEvent(attempt, event, monotonicNow()); })
     , callers_(settings.name + "-" + std::to_string(drawIncarnation()) + "-", static_cast<size_t>(settings.maxBodyBytes))
-    , core_(entryOptions(settings), {router_, claims_, transport_, *this, callers_, log}, entryHooks(), monotonicNow())
+    , core_(entryOptions(settings), {router_, claims_, transport_, entryControl_, callers_, log}, entryHooks(), monotonicNow())
 {
+    entryControl_.attach(core_, router_, claims_);
     bindMethods();
 }
 
+entry::EntryControlHooks EntryDaemon::entryControlHooks()
+{
+    entry::EntryControlHooks hooks;
+    hooks.send = [this](std::string_view address, const std::string &method, const Json::Value &params) { control_.send(address, method, params); };
+    hooks.publish = [this](const std::string &key, const std::string &value, bool urgent) { publish(key, value, urgent); };
+    hooks.unixMs = unixMillis;
+    return hooks;
+}
+
 ControlDutyHooks EntryDaemon::controlHooks()
 {
     ControlDutyHooks hooks;
@@ -117,15 +113,12 @@
         fromControl_->post([this, config] {
             config_ = config.config;
             revision_ = config.revision;
-            core_.configure(config.config);
+            entryControl_.configure(config.config);
             burn_.configure(config.config);
-            for (const auto &[name, member] : members_) {
-                onMember(member);
-            }
         });
     };
-    hooks.memberChanged = [this](const Member &member) { fromControl_->post([this, member] { onMember(member); }); };
-    hooks.recordChanged = [this](const Record &record) { fromControl_->post([this, record] { onRecord(record); }); };
+    hooks.memberChanged = [this](const Member &member) { fromControl_->post([this, member] { entryControl_.onMember(member); }); };
+    hooks.recordChanged = [this](const Record &record) { fromControl_->post([this, record] { entryControl_.onRecord(record, monotonicNow()); }); };
     hooks.cutOffChanged = [](bool) {};
     hooks.message = [this](const std::string &method, const Json::Value &params) { fromControl_->post([this, method, params] { onMessage(method, params); }); };
     hooks.status = [this](Json::Value &status) {
@@ -140,10 +133,7 @@
     entry::EntryHooks hooks;
     hooks.outcome = [this](const entry::RequestOutcome &outcome) { onOutcome(outcome); };
     hooks.tokenGap = [this](std::string_view service, Duration gap) { metrics_.onTokenGap(service, gap); };
-    hooks.convicted = [this](quarantine::Fingerprint fingerprint) {
-        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(config_.quarantine.duration);
-        publish(std::string(CONVICTION_PREFIX) + std::to_string(fingerprint), std::to_string(unixMillis() + remaining.count()), true);
-    };
+    hooks.convicted = [this](quarantine::Fingerprint fingerprint) { entryControl_.onConvicted(fingerprint); };
     hooks.unixMs = unixMillis;
     return hooks;
 }
@@ -160,7 +150,7 @@
 
 Ret EntryDaemon::start()
 {
-    if (const Ret bound = control_.bind(); !bound) {
+    if (Ret bound = control_.bind(); !bound) {
         return bound;
     }
     callers_.setPort(server_.makePort());
@@ -224,139 +214,24 @@
 void EntryDaemon::onAddresses(const network::HttpRequest &http)
 {
     const auto organisation = http.query.find("organisation");
-    const uint64_t seed = framework::hash64(organisation == http.query.end() ? "" : organisation->second);
-    // The same few entries for one organisation keep its limits local to them.
-    std::vector<std::pair<uint64_t, std::string>> ranked;
-    for (const auto &[name, entry] : config_.entries) {
-        const auto member = members_.find(name);
-        const bool self = name == settings_.name;
-        const bool live = self ? !draining_ : member != members_.end() && member->second.state == MemberState::Alive;
-        const auto zone = config_.zones.find(entry.zone);
-        const bool out = entry.out || (zone != config_.zones.end() && zone->second.out);
-        if (live && !out) {
-            ranked.emplace_back(framework::hash64(name, seed), entry.address);
-        }
-    }
-    std::sort(ranked.rbegin(), ranked.rend());
-    ranked.resize(std::min(ranked.size(), ADDRESSES_PER_ANSWER));
+    const std::string name = organisation == http.query.end() ? std::string() : organisation->second;
     Json::Value answer;
     answer["addresses"] = Json::arrayValue;
-    for (const auto &[rank, address] : ranked) {
+    for (const std::string &address : entryControl_.addressesFor(name, draining_)) {
         answer["addresses"].append(address);
     }
     answer["ttl_ms"] = static_cast<Json::Int64>(std::chrono::duration_cast<std::chrono::milliseconds>(config_.membership.addressTtl).count());
     callers_.replyJson(http.exchange, 200, framework::writeJson(answer));
 }
 
-void EntryDaemon::onMember(const Member &member)
-{
-    members_[member.name] = member;
-    router_.setAlive(member.name, member.state != MemberState::Dead);
-    const bool leaving = member.state == MemberState::Leaving;
-    if (member.role == "sidecar" && leaving) {
-        router_.setLeaving(member.name, true);
-    } else if (member.role == "sidecar" && member.state == MemberState::Alive) {
-        router_.setLeaving(member.name, false);
-    }
-    if (member.role == "entry" && (member.state == MemberState::Dead || leaving)) {
-        core_.limiter().forgetPeer(member.name);
-    }
-}
-
-void EntryDaemon::onRecord(const Record &record)
-{
-    const std::string_view key = record.key;
-    const Instant now = monotonicNow();
-    if (hasPrefix(key, DEMAND_PREFIX)) {
-        core_.limiter().onPeerDemand(key.substr(DEMAND_PREFIX.size()), entry::decodeDemand(record.value), now);
-    } else if (hasPrefix(key, USAGE_PREFIX)) {
-        core_.billing().onPeerUsage(key.substr(USAGE_PREFIX.size()), entry::decodeUsage(record.value));
-    } else if (hasPrefix(key, CRASH_PREFIX)) {
-        core_.onCrashReport(entry::decodeCrash(record.value), now);
-    } else if (hasPrefix(key, VM_PREFIX)) {
-        router_.setLeaving(key.substr(VM_PREFIX.size()), record.value == "leaving");
-    } else if (hasPrefix(key, CONVICTION_PREFIX)) {
-        const uint64_t fingerprint = std::strtoull(record.key.c_str() + CONVICTION_PREFIX.size(), nullptr, 10);
-        const int64_t untilMs = std::strtoll(record.value.c_str(), nullptr, 10);
-        core_.onConviction({fingerprint, std::chrono::milliseconds{std::max<int64_t>(0, untilMs - unixMillis())}}, now);
-    }
-}
-
 void EntryDaemon::onMessage(const std::string &method, const Json::Value &params)
 {
-    const Instant now = monotonicNow();
-    const Ret ret = framework::attempt([&]() -> framework::Result<void> {
-        if (method == "claims.forward") {
-            onForward(params);
-        } else if (method == "claims.verdict") {
-            BOOST_LEAF_AUTO(verdict, entry::verdictFromJson(params));
-            claims_.onForwardReply(verdict.id, verdict.outcome, now, unixMillis());
-        } else if (method == "owner.query") {
-            BOOST_LEAF_AUTO(query, entry::queryFromJson(params));
-            control_.send(addressOf(query.asker), "owner.answer", toJson(core_.onOwnerQuery(query)));
-        } else if (method == "owner.answer") {
-            BOOST_LEAF_AUTO(answer, entry::answerFromJson(params));
-            core_.onOwnerAnswer(answer, now);
-        }
-        return {};
-    });
+    const Ret ret = entryControl_.onMessage(method, params, monotonicNow());
     if (!ret) {
         log_.report({"entry", "bad_message", ret.code, "", {{"method", method}, {"detail", ret.detail}}});
     }
 }
 
-void EntryDaemon::onForward(const Json::Value &params)
-{
-    static_cast<void>(framework::attempt([&]() -> framework::Result<void> {
-        BOOST_LEAF_AUTO(message, entry::forwardFromJson(params));
-        const std::string id = claims::ClaimsRegistry::replyId(message.record.record);
-        const auto reply = [this, id, to = message.from](const claims::ClaimOutcome &outcome) {
-            control_.send(addressOf(to), "claims.verdict", toJson(entry::VerdictMessage{id, outcome}));
-        };
-        claims_.onForwarded(message.record, reply, monotonicNow(), unixMillis());
-        return {};
-    }));
-}
-
-void EntryDaemon::forward(std::string_view home, const claims::ForwardedRecord &record)
-{
-    control_.send(addressOf(home), "claims.forward", toJson(entry::ForwardMessage{settings_.name, record}));
-}
-
-void EntryDaemon::query(std::string_view entry, const entry::OwnerQuery &query)
-{
-    if (entry == settings_.name) {
-        // Asked and answered in the next turn, as between any two entries.
-        requestsToControl_->post([this, query] { fromControl_->post([this, query] { core_.onOwnerAnswer(core_.onOwnerQuery(query), monotonicNow()); }); });
-        return;
-    }
-    control_.send(addressOf(entry), "owner.query", toJson(query));
-}
-
-bool EntryDaemon::isAlive(std::string_view entry) const
-{
-    const auto found = members_.find(entry);
-    return entry == settings_.name || (found != members_.end() && found->second.state != MemberState::Dead);
-}
-
-std::vector<std::string> EntryDaemon::liveEntries() const
-{
-    std::vector<std::string> names{settings_.name};
-    for (const auto &[name, member] : members_) {
-        if (member.role == "entry" && member.state == MemberState::Alive && name != settings_.name) {
-            names.push_back(name);
-        }
-    }
-    std::sort(names.begin(), names.end());
-    return names;
-}
-
-std::string EntryDaemon::addressOf(std::string_view member) const
-{
-    const auto found = members_.find(member);
-    return found == members_.end() ? std::string() : found->second.address;
-}
-
 void EntryDaemon::onOutcome(const entry::RequestOutcome &outcome)
 {
     metrics_.onOutcome(outcome);
@@ -372,27 +247,9 @@
     burn_.add(sample, unixMillis());
 }
 
-void EntryDaemon::publish(std::string key, std::string value, bool urgent)
+void EntryDaemon::publish(const std::string &key, const std::string &value, bool urgent)
 {
-    requestsToControl_->post([this, key = std::move(key), value = std::move(value), urgent] { control_.publish(key, value, urgent); });
-}
-
-void EntryDaemon::publishUsage(Instant now)
-{
-    if (now < nextPublishAt_) {
-        return;
-    }
-    nextPublishAt_ = now + PUBLISH_INTERVAL;
-    std::string demand = entry::encodeDemand(core_.limiter().demand(now));
-    if (demand != lastDemand_) {
-        lastDemand_ = demand;
-        publish(std::string(DEMAND_PREFIX) + settings_.name, std::move(demand), false);
-    }
-    std::string usage = entry::encodeUsage(core_.billing().usage(unixMillis()));
-    if (usage != lastUsage_) {
-        lastUsage_ = usage;
-        publish(std::string(USAGE_PREFIX) + settings_.name, std::move(usage), false);
-    }
+    requestsToControl_->post([this, key, value, urgent] { control_.publish(key, value, urgent); });
 }
 
 void EntryDaemon::snapshotBurn(Instant now)
@@ -413,7 +270,7 @@
 {
     const Instant now = monotonicNow();
     core_.tick(now);
-    publishUsage(now);
+    entryControl_.tick(now);
     openRequests_ = core_.openRequests();
     snapshotBurn(now);
     if (!draining_) {
--- a/src/daemon/entrydaemon.h
+++ b/src/daemon/entrydaemon.h
@@ -8,6 +8,7 @@
 #include "daemon/controlduty.h"
 #include "daemon/entrymetrics.h"
 #include "daemon/idaemon.h"
+#include "entry/entrycontrol.h"
 #include "entry/entrycore.h"
 #include "routing/router.h"
 #include "slo/burnmeter.h"
@@ -21,7 +22,7 @@
 namespace daisymount::daemon
 {
 
-class EntryDaemon : public IDaemon, public entry::IEntryPeers
+class EntryDaemon : public IDaemon
 {
 public:
     EntryDaemon(const NodeSettings &settings, EventHistory &log);
@@ -31,27 +32,17 @@
     bool drained() const override;
     void stop() override;
 
-    // IEntryPeers, request thread.
-    void query(std::string_view entry, const entry::OwnerQuery &query) override;
-    bool isAlive(std::string_view entry) const override;
-
 private:
     void onHttp(network::HttpRequest http);
     void onAddresses(const network::HttpRequest &http);
     void onReady(network::ExchangeId exchange);
-    void onMember(const membership::Member &member);
-    void onRecord(const membership::Record &record);
     void onMessage(const std::string &method, const Json::Value &params);
-    void onForward(const Json::Value &params);
     void onOutcome(const entry::RequestOutcome &outcome);
-    void forward(std::string_view home, const claims::ForwardedRecord &record);
-    void publish(std::string key, std::string value, bool urgent);
-    void publishUsage(framework::Instant now);
+    void publish(const std::string &key, const std::string &value, bool urgent);
     void snapshotBurn(framework::Instant now);
     void tick();
-    std::vector<std::string> liveEntries() const;
-    std::string addressOf(std::string_view member) const;
     ControlDutyHooks controlHooks();
+    entry::EntryControlHooks entryControlHooks();
     entry::EntryHooks entryHooks();
     void bindMethods();
 
@@ -68,6 +59,7 @@
 
     // Request thread only.
     platform::HttpPlatformStore store_;
+    entry::EntryControl entryControl_;
     routing::Router router_;
     claims::ClaimsRegistry claims_;
     AttemptTransport transport_;
@@ -77,11 +69,7 @@
     entry::EntryCore core_;
     config::Config config_;
     int64_t revision_ = 0;
-    std::map<std::string, membership::Member, std::less<>> members_;
-    framework::Instant nextPublishAt_{0};
     framework::Instant nextBurnAt_{0};
-    std::string lastDemand_;
-    std::string lastUsage_;
 
     std::mutex burnMutex_;
     Json::Value burnRows_{Json::arrayValue}; ///< Guarded by burnMutex_.
--- a/src/daemon/sidecardaemon.cpp
+++ b/src/daemon/sidecardaemon.cpp
@@ -96,7 +96,7 @@
 
 Ret SidecarDaemon::start()
 {
-    if (const Ret bound = control_.bind(); !bound) {
+    if (Ret bound = control_.bind(); !bound) {
         return bound;
     }
     replies_ = server_.makePort();
--- a/src/entry/internal/entrychecks.cpp
+++ b/src/entry/internal/entrychecks.cpp
@@ -12,7 +12,7 @@
 
 namespace
 {
-constexpr Duration CLAIM_RETRY_AFTER = framework::seconds{1};
+constexpr Duration REFUSAL_RETRY_AFTER = framework::seconds{1};
 constexpr Duration REPEAT_MARGIN = framework::milliseconds{100};
 
 quarantine::Fingerprint fingerprintOf(const CallerRequest &request)
@@ -39,6 +39,11 @@
 
 bool EntryCore::passesChecks(Request &request, Instant now)
 {
+    if (config_.services.empty()) {
+        // Without a configuration nothing can be said about the caller.
+        refuse(request, ResultCode::ConfigurationStale, RunState::NotRun, REFUSAL_RETRY_AFTER);
+        return false;
+    }
     request.organisation = config_.organisationOfKey(request.caller.apiKey);
     if (request.organisation.empty()) {
         refuse(request, ResultCode::UnknownApiKey, RunState::NotRun, Duration{0});
@@ -135,7 +140,7 @@
     }
     // Where an earlier receipt of the key is known to have been claimed, "not run" could be taken to speak of that one.
     const RunState ran = parts_.claims.knows(request.caller.service, key) ? RunState::Unknown : RunState::NotRun;
-    refuse(request, outcome.code, ran, CLAIM_RETRY_AFTER);
+    refuse(request, outcome.code, ran, REFUSAL_RETRY_AFTER);
 }
 
 void EntryCore::onRepeat(const std::string &id, const RepeatOutcome &outcome)
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -37,6 +37,14 @@
     expectReply("b", ResultCode::UnknownService, RunState::NotRun);
 }
 
+TEST(EntryCore, withoutAConfigurationItBlamesNoCaller)
+{
+    core.configure({});
+    submit("a", "hello");
+    expectReply("a", ResultCode::ConfigurationStale, RunState::NotRun);
+    CHECK(reply("a").retryAfter > Duration{0});
+}
+
 TEST(EntryCore, refusesOverTheLimitWithATimeToComeBack)
 {
     for (int i = 0; i < 40; ++i) {
--- a/src/expertmap/internal/placement.cpp
+++ b/src/expertmap/internal/placement.cpp
@@ -260,12 +260,12 @@
         std::vector<double> loads(static_cast<size_t>(ranks), 0.0);
         std::vector<std::vector<int>> held(static_cast<size_t>(ranks));
         for (const auto &[load, expert] : items) {
-            const auto conflicts = [&](int rank) {
+            const auto conflicts = [&, wanted = expert](int rank) {
                 const int vm = rank / options.ranksPerVm;
                 for (int other = 0; other < ranks; ++other) {
                     const bool near = other == rank || (vms > 1 && other / options.ranksPerVm == vm);
                     const auto &experts = held[static_cast<size_t>(other)];
-                    if (near && std::find(experts.begin(), experts.end(), expert) != experts.end()) {
+                    if (near && std::find(experts.begin(), experts.end(), wanted) != experts.end()) {
                         return true;
                     }
                 }
