--- /dev/null
+++ b/bench/benches.h
@@ -0,0 +1,14 @@
+// The benches; each prints one table or more.
+
+#pragma once
+
+namespace daisymount::bench
+{
+
+void benchPlacement();
+void benchRouting();
+void benchOrganisations();
+void benchClaims();
+void benchControl();
+
+} // namespace daisymount::bench
--- a/src/admission/internal/colddetector.cpp
+++ b/src/admission/internal/colddetector.cpp
@@ -10,10 +10,10 @@
 /// Samples before jumps are looked for.
 constexpr int64_t BASELINE_SAMPLES = 8;
 constexpr double BASELINE_WEIGHT = 0.05;
-/// A sample above this multiple of the baseline is a jump.
-constexpr double JUMP_FACTOR = 4.0;
+/// A sample above this multiple of the baseline is a jump. Prompts whose prefix is not cached take up to four times as long.
+constexpr double JUMP_FACTOR = 6.0;
 /// Jumps in a row that mean a cold upstream; a single slow request does not.
-constexpr int JUMPS_TO_COLD = 3;
+constexpr int JUMPS_TO_COLD = 4;
 } // namespace
 
 bool ColdDetector::observe(framework::Duration firstToken)
--- a/src/claims/internal/journal.cpp
+++ b/src/claims/internal/journal.cpp
@@ -15,7 +15,7 @@
 using framework::stringField;
 using framework::uintField;
 
-Json::Value encodeRecord(const JournalRecord &record)
+Json::Value toJson(const JournalRecord &record)
 {
     Json::Value value;
     if (const auto *claim = std::get_if<Claim>(&record)) {
@@ -68,16 +68,29 @@
     return static_cast<int64_t>(framework::hash64(key) % static_cast<uint64_t>(shards));
 }
 
+std::string encodeRecord(const JournalRecord &record)
+{
+    return framework::writeJson(toJson(record));
+}
+
+std::string assembleSegment(std::string_view encodedRecords, bool sealed, int64_t sealedAtMs)
+{
+    std::string text = R"({"sealed":)";
+    text += sealed ? "true" : "false";
+    text += R"(,"sealed_at_ms":)" + std::to_string(sealedAtMs) + R"(,"records":[)";
+    text += encodedRecords;
+    text += "]}";
+    return text;
+}
+
 std::string encodeSegment(const Segment &segment)
 {
-    Json::Value value;
-    value["sealed"] = segment.sealed;
-    value["sealed_at_ms"] = static_cast<Json::Int64>(segment.sealedAtMs);
-    value["records"] = Json::arrayValue;
+    std::string records;
     for (const JournalRecord &record : segment.records) {
-        value["records"].append(encodeRecord(record));
+        records += records.empty() ? "" : ",";
+        records += encodeRecord(record);
     }
-    return framework::writeJson(value);
+    return assembleSegment(records, segment.sealed, segment.sealedAtMs);
 }
 
 framework::Result<Segment> decodeSegment(std::string_view text)
--- a/src/claims/internal/shardjournal.cpp
+++ b/src/claims/internal/shardjournal.cpp
@@ -199,8 +199,7 @@
     openNumber_ = number;
     openRevision_ = value.revision;
     storeFailed_ = false;
-    openBytes_ = value.value.size();
-    openSegment_ = std::move(*segment);
+    takeOverOpen(*segment);
     phase_ = Phase::Ready;
     settlePending();
     if (hasPending() && now_ >= nextWriteAt_) {
@@ -208,6 +207,19 @@
     }
 }
 
+void ShardJournal::takeOverOpen(const Segment &segment)
+{
+    openRecords_.clear();
+    openKeys_.clear();
+    for (const JournalRecord &record : segment.records) {
+        openRecords_ += openRecords_.empty() ? "" : ",";
+        openRecords_ += encodeRecord(record);
+        if (const auto *claim = std::get_if<Claim>(&record)) {
+            openKeys_.push_back(claim->key);
+        }
+    }
+}
+
 void ShardJournal::onStoreFault()
 {
     phase_ = Phase::Unloaded;
@@ -407,7 +419,7 @@
 {
     std::vector<JournalRecord> batch;
     std::set<std::string_view> keys;
-    size_t bytes = openBytes_;
+    size_t bytes = openRecords_.size();
     for (PendingClaim &pending : pendingClaims_) {
         // Of two pending claims on one key the second waits and finds the first in the journal.
         const bool stands = byKey_.count(pending.claim.key) != 0;
@@ -434,25 +446,25 @@
     if (batch.empty()) {
         return;
     }
-    Segment next = openSegment_;
-    for (JournalRecord &record : batch) {
-        next.records.push_back(std::move(record));
+    Written written{Segment{false, 0, std::move(batch)}, openRecords_};
+    for (const JournalRecord &record : written.added.records) {
+        written.records += written.records.empty() ? "" : ",";
+        written.records += encodeRecord(record);
     }
-    std::string text = encodeSegment(next);
-    if (text.size() > options_.segmentBytes) {
-        next.sealed = true;
-        next.sealedAtMs = unixMs_;
-        text = encodeSegment(next);
+    if (written.records.size() > options_.segmentBytes) {
+        written.added.sealed = true;
+        written.added.sealedAtMs = unixMs_;
     }
-    openBytes_ = text.size();
+    std::string text = assembleSegment(written.records, written.added.sealed, written.added.sealedAtMs);
     phase_ = Phase::Writing;
     nextWriteAt_ = now_ + options_.batchInterval;
     const std::string key = segmentKey(identity_.service, identity_.shard, openNumber_);
-    store_.compareAndSwap(key, openRevision_, std::move(text),
-                          [self = shared_from_this(), next = std::move(next)](const Ret &ret, int64_t revision) { self->onWritten(ret, revision, next); });
+    const auto onAnswer
+        = [self = shared_from_this(), written = std::move(written)](const Ret &ret, int64_t revision) { self->onWritten(ret, revision, written); };
+    store_.compareAndSwap(key, openRevision_, std::move(text), onAnswer);
 }
 
-void ShardJournal::onWritten(const Ret &ret, int64_t revision, Segment written)
+void ShardJournal::onWritten(const Ret &ret, int64_t revision, Written written)
 {
     if (ret.code == ResultCode::CasConflict || ret.code == ResultCode::ReplyLost) {
         // The journal tells which of our records stand.
@@ -465,16 +477,23 @@
         return;
     }
     storeFailed_ = false;
-    forgetWrittenCompletions(written);
-    index(written, openNumber_);
-    openSegment_ = std::move(written);
+    forgetWrittenCompletions(written.added);
+    index(written.added, openNumber_);
+    for (const JournalRecord &record : written.added.records) {
+        if (const auto *claim = std::get_if<Claim>(&record)) {
+            openKeys_.push_back(claim->key);
+        }
+    }
+    openRecords_ = std::move(written.records);
     openRevision_ = revision;
     phase_ = Phase::Ready;
-    if (openSegment_.sealed) {
+    if (written.added.sealed) {
+        // The index has listed only the keys of the last write.
+        sealed_.back().keys = std::move(openKeys_);
         ++openNumber_;
         openRevision_ = 0;
-        openBytes_ = 0;
-        openSegment_ = Segment{};
+        openRecords_.clear();
+        openKeys_.clear();
         updateHead();
     }
     settlePending();
--- a/src/claims/journal.h
+++ b/src/claims/journal.h
@@ -32,6 +32,10 @@
 };
 
 std::string encodeSegment(const Segment &segment);
+/// One record, as it stands between the commas of an encoded segment.
+std::string encodeRecord(const JournalRecord &record);
+/// A segment whose records are already encoded and joined by commas.
+std::string assembleSegment(std::string_view encodedRecords, bool sealed, int64_t sealedAtMs);
 framework::Result<Segment> decodeSegment(std::string_view text);
 
 std::string segmentKey(std::string_view service, int64_t shard, int64_t number);
--- a/src/claims/shardjournal.h
+++ b/src/claims/shardjournal.h
@@ -90,17 +90,25 @@
         std::vector<std::string> keys;
     };
 
+    /// A write of the open segment that is under way.
+    struct Written
+    {
+        Segment added; ///< Records that it adds; sealed when it seals the segment.
+        std::string records; ///< All records of the segment, encoded.
+    };
+
     void startLoad();
     void loadBack(int64_t number);
     void loadForward(int64_t number);
     void onForward(int64_t number, const framework::Ret &ret, const platform::VersionedValue &value);
+    void takeOverOpen(const Segment &segment);
     void onStoreFault();
     void ensureReleaseWritten(const std::string &claimId);
     void refusePending(const std::function<bool(const PendingClaim &)> &refused);
     void indexClaim(const Claim &claim);
     void indexCompletion(const Completion &completion);
     void flush();
-    void onWritten(const framework::Ret &ret, int64_t revision, Segment written);
+    void onWritten(const framework::Ret &ret, int64_t revision, Written written);
     void index(const Segment &segment, int64_t number);
     int64_t oldestKeptMs() const;
     void forgetOldSegments();
@@ -129,8 +137,8 @@
     int64_t headHint_ = 0;
     int64_t openNumber_ = 0;
     int64_t openRevision_ = 0; ///< Revision at which openSegment_ was read or written; 0 while it does not exist.
-    size_t openBytes_ = 0;
-    Segment openSegment_; ///< Never sealed in phase Ready.
+    std::string openRecords_; ///< Encoded records of the open segment, joined by commas.
+    std::vector<std::string> openKeys_; ///< Keys claimed in the open segment.
     std::map<std::string, IndexedClaim, std::less<>> byKey_; ///< Claims of the loaded chain.
     std::map<std::string, std::string, std::less<>> keyOfClaim_;
     std::vector<SealedSegment> sealed_;
--- a/src/ctl/burnreport.cpp
+++ b/src/ctl/burnreport.cpp
@@ -103,6 +103,7 @@
         }
     }
     std::vector<slo::BurnRow> rows;
+    rows.reserve(merged.size());
     for (auto &[key, row] : merged) {
         rows.push_back(std::move(row));
     }
--- a/src/expertmap/internal/placement.cpp
+++ b/src/expertmap/internal/placement.cpp
@@ -79,20 +79,42 @@
         return rank / options_.ranksPerVm;
     }
 
-    /// True when @p expert may also go to @p rank, not counting the copy in @p exceptSlot.
+    /// True when @p expert may also go to @p rank, not counting the copy in @p exceptSlot: no rank holds an expert twice, and
+    /// the copies of an expert that has several are never all on one VM.
     bool mayHold(int rank, int expert, int exceptSlot) const
     {
-        const bool oneVm = options_.ranksPerVm >= map_.ranks();
+        bool alone = true;
+        bool spread = options_.ranksPerVm >= map_.ranks();
         for (const int slot : slotsOfExpert_[static_cast<size_t>(expert)]) {
             if (slot == exceptSlot) {
                 continue;
             }
             const int holder = map_.rankOf(slot);
-            if (holder == rank || (!oneVm && vmOf(holder) == vmOf(rank))) {
+            if (holder == rank) {
                 return false;
             }
+            alone = false;
+            spread = spread || vmOf(holder) != vmOf(rank);
         }
-        return true;
+        return alone || spread;
+    }
+
+    /// True when the copies of @p expert without the one in @p slot still are on two VMs, or are only one.
+    bool mayLose(int expert, int slot) const
+    {
+        int firstVm = -1;
+        int copies = 0;
+        bool spread = options_.ranksPerVm >= map_.ranks();
+        for (const int other : slotsOfExpert_[static_cast<size_t>(expert)]) {
+            if (other == slot) {
+                continue;
+            }
+            const int vm = vmOf(map_.rankOf(other));
+            spread = spread || (firstVm >= 0 && vm != firstVm);
+            firstVm = firstVm < 0 ? vm : firstVm;
+            ++copies;
+        }
+        return copies == 1 || (copies > 1 && spread);
     }
 
     std::optional<Step> bestStep(int hottest) const
@@ -124,7 +146,7 @@
         for (int slot = 0; slot < map_.slots(); ++slot) {
             const int target = map_.rankOf(slot);
             const int displaced = map_.expertAt(slot);
-            if (target == hottest || displaced == hot || map_.replicas(displaced) < 2 || !mayHold(target, hot, -1)) {
+            if (target == hottest || displaced == hot || !mayLose(displaced, slot) || !mayHold(target, hot, -1)) {
                 continue;
             }
             const double displacedBefore = shareOf(displaced);
@@ -151,7 +173,7 @@
     void considerDrop(int hottest, int slot, const Consider &consider) const
     {
         const int dropped = map_.expertAt(slot);
-        if (map_.replicas(dropped) < 2) {
+        if (!mayLose(dropped, slot)) {
             return;
         }
         const double droppedBefore = shareOf(dropped);
@@ -248,7 +270,7 @@
     return [options](const LayerMap &current, std::span<const double> expertLoads) {
         const int ranks = current.ranks();
         const int vms = std::max(1, (ranks + options.ranksPerVm - 1) / options.ranksPerVm);
-        const std::vector<int> copies = copiesByLoad(expertLoads, current.slots(), vms > 1 ? vms : ranks);
+        const std::vector<int> copies = copiesByLoad(expertLoads, current.slots(), ranks);
         std::vector<std::pair<double, int>> items;
         for (size_t expert = 0; expert < expertLoads.size(); ++expert) {
             for (int copy = 0; copy < copies[expert]; ++copy) {
@@ -260,16 +282,22 @@
         std::vector<double> loads(static_cast<size_t>(ranks), 0.0);
         std::vector<std::vector<int>> held(static_cast<size_t>(ranks));
         for (const auto &[load, expert] : items) {
+            // A rank that holds the expert already, or a second copy on the VM of the first.
             const auto conflicts = [&, wanted = expert](int rank) {
-                const int vm = rank / options.ranksPerVm;
+                int holders = 0;
+                bool sameVmOnly = true;
                 for (int other = 0; other < ranks; ++other) {
-                    const bool near = other == rank || (vms > 1 && other / options.ranksPerVm == vm);
                     const auto &experts = held[static_cast<size_t>(other)];
-                    if (near && std::find(experts.begin(), experts.end(), wanted) != experts.end()) {
+                    if (std::find(experts.begin(), experts.end(), wanted) == experts.end()) {
+                        continue;
+                    }
+                    if (other == rank) {
                         return true;
                     }
+                    ++holders;
+                    sameVmOnly = sameVmOnly && other / options.ranksPerVm == rank / options.ranksPerVm;
                 }
-                return false;
+                return vms > 1 && holders > 0 && sameVmOnly;
             };
             int best = -1;
             bool bestConflicts = true;
--- a/src/organisations/billingmeter.h
+++ b/src/organisations/billingmeter.h
@@ -41,7 +41,7 @@
     /// Counts tokens that this entry has let through. @p urgent: the work could not wait.
     void charge(double tokens, bool urgent, int64_t unixMs);
     /// Whether deferrable work of @p tokens must wait. Urgent work is never asked about.
-    HoldDecision decide(double tokens, int64_t unixMs) const;
+    HoldDecision decide(double tokens, int64_t unixMs);
 
     WindowUsage usage(int64_t unixMs) const;
     void onPeerUsage(std::string_view peer, const WindowUsage &usage);
@@ -55,6 +55,9 @@
 
 private:
     int64_t windowOf(int64_t unixMs) const;
+    void advanceTo(int64_t current);
+    /// Tokens of deferrable work that fit beside urgent work below the peak, by what is known now.
+    double room(int64_t unixMs) const;
     double fleetTokens() const;
     double fleetUrgentTokens() const;
 
@@ -63,7 +66,11 @@
     size_t entryCount_ = 1;
     int64_t window_ = 0; ///< Never goes back.
     std::map<std::string, WindowUsage, std::less<>> usage_; ///< Of the running window, by entry.
+    int64_t slot_ = 0; ///< Time slot of the allowance: in it this entry does not yet see what the others let through.
+    double allowance_ = 0.0; ///< This entry's part of the room at the start of the slot.
+    double granted_ = 0.0; ///< Deferrable tokens let through in the slot.
     double peak_ = 0.0;
+    double lastUrgent_ = 0.0; ///< Urgent total of the last finished window.
     double urgentPeak_ = 0.0; ///< Highest urgent total of a window, the running one included.
 };
 
--- a/src/organisations/tests/organisations_tests.cpp
+++ b/src/organisations/tests/organisations_tests.cpp
@@ -134,6 +134,10 @@
     unixMs += 60'000;
     meter.tick(unixMs);
     DOUBLES_EQUAL(1000, meter.billedPeak(), 0.1);
+    // Right after a busy window as much urgent work is expected again: nothing else fits.
+    CHECK(meter.decide(50, unixMs).held);
+    unixMs += 60'000;
+    meter.tick(unixMs);
     double deferred = 0;
     for (int i = 0; i < 100; ++i) {
         if (!meter.decide(50, unixMs).held) {
@@ -143,6 +147,7 @@
     }
     CHECK(deferred > 900);
     CHECK(deferred <= 1000);
+    CHECK(meter.decide(50, unixMs).held);
     const auto hold = meter.decide(50, unixMs + 10'000);
     CHECK(hold.held);
     LONGS_EQUAL(50'000'000, hold.retryAfter.count());
@@ -172,6 +177,37 @@
     CHECK(meter.decide(110, unixMs).held);
 }
 
+TEST(BillingMeter, sevenEntriesDoNotUseTheSameRoomSevenTimes)
+{
+    for (int i = 1; i < 7; ++i) {
+        config.entries["e" + std::to_string(i)] = {};
+    }
+    double let = 0;
+    for (int entry = 0; entry < 7; ++entry) {
+        BillingMeter meter("e" + std::to_string(entry));
+        meter.configure(config);
+        meter.restorePeak(1000);
+        for (int i = 0; i < 100; ++i) {
+            if (!meter.decide(10, unixMs).held) {
+                meter.charge(10, false, unixMs);
+                let += 10;
+            }
+        }
+    }
+    CHECK(let <= 1000);
+    CHECK(let >= 900);
+}
+
+TEST(BillingMeter, aPeerThatEntersAWindowFirstDoesNotRaiseThePeak)
+{
+    BillingMeter meter("e0");
+    meter.configure(config);
+    meter.charge(500, true, unixMs);
+    meter.onPeerUsage("e1", {unixMs / 60'000 + 1, 500, 500});
+    meter.tick(unixMs + 120'000);
+    DOUBLES_EQUAL(500, meter.billedPeak(), 0.1);
+}
+
 TEST(BillingMeter, holdsNothingUnlessConfigured)
 {
     BillingMeter meter("e0");
--- a/src/routing/internal/pickpolicies.cpp
+++ b/src/routing/internal/pickpolicies.cpp
@@ -15,10 +15,16 @@
 {
 /// Load that a remote zone costs in comparisons, in units of the limit.
 constexpr double REMOTE_ZONE_COST = 0.05;
+/// Cost of an idle upstream, so that slowness counts there too.
+constexpr double IDLE_COST = 0.1;
 /// A prefix's first choice is taken while its load is at most this multiple of the mean.
 constexpr double AFFINITY_LOAD_BOUND = 1.25;
 /// Absolute allowance on top of the bound, so that affinity holds on an idle fleet.
-constexpr double AFFINITY_LOAD_SLACK = 0.1;
+constexpr double AFFINITY_LOAD_SLACK = 0.3;
+/// Above this load a prefix's choice would make it queue.
+constexpr double AFFINITY_MAX_LOAD = 1.0;
+/// A later choice of a prefix must be cheaper by this much.
+constexpr double SWITCH_MARGIN = 0.25;
 /// A prefix's first choice is passed over when it is slower than this multiple of the median.
 constexpr double AFFINITY_MAX_SLOWNESS = 2.0;
 constexpr size_t AFFINITY_CHOICES = 2;
@@ -28,7 +34,7 @@
 double cost(const Candidate &candidate)
 {
     const double zoneCost = candidate.sameZone ? 0.0 : REMOTE_ZONE_COST;
-    return (candidate.load + zoneCost) * candidate.slowness;
+    return (candidate.load + IDLE_COST + zoneCost) * candidate.slowness;
 }
 
 std::vector<size_t> usable(std::span<const Candidate> candidates)
@@ -49,7 +55,8 @@
 
 bool withinAffinityBound(const Candidate &candidate, double meanLoad)
 {
-    return candidate.load <= meanLoad * AFFINITY_LOAD_BOUND + AFFINITY_LOAD_SLACK && candidate.slowness <= AFFINITY_MAX_SLOWNESS;
+    const double bound = std::min(meanLoad * AFFINITY_LOAD_BOUND + AFFINITY_LOAD_SLACK, AFFINITY_MAX_LOAD);
+    return candidate.load <= std::max(bound, meanLoad) && candidate.slowness <= AFFINITY_MAX_SLOWNESS;
 }
 
 std::optional<size_t> byAffinity(std::span<const Candidate> candidates, std::span<const size_t> indices, uint64_t prefixHash)
@@ -62,12 +69,16 @@
     }
     const double meanLoad = totalLoad / static_cast<double>(indices.size());
     std::sort(ranked.rbegin(), ranked.rend());
+    // The less loaded of a prefix's few choices: all of them come to hold its cache, and a common prefix burdens none alone.
+    std::optional<size_t> best;
     for (size_t rank = 0; rank < std::min(AFFINITY_CHOICES, ranked.size()); ++rank) {
-        if (withinAffinityBound(candidates[ranked[rank].second], meanLoad)) {
-            return ranked[rank].second;
+        const size_t index = ranked[rank].second;
+        const bool better = !best || cost(candidates[index]) < cost(candidates[*best]) - SWITCH_MARGIN;
+        if (better && withinAffinityBound(candidates[index], meanLoad)) {
+            best = index;
         }
     }
-    return std::nullopt;
+    return best;
 }
 
 size_t bestOfSamples(std::span<const Candidate> candidates, std::vector<size_t> indices, RandomEngine &random)
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -19,6 +19,8 @@
 {
 /// Weight of a new first-token sample in the moving average.
 constexpr double FIRST_TOKEN_WEIGHT = 0.2;
+/// Weight of a sample that shows that a slow upstream has healed.
+constexpr double HEALED_WEIGHT = 0.7;
 /// Time after which half of a measured slowness is forgotten, so that a healed upstream is tried again.
 constexpr Duration SLOWNESS_HALF_LIFE = seconds{3};
 constexpr double MAX_SLOWNESS = 20.0;
@@ -131,6 +133,10 @@
         return 1.0;
     }
     const double ratio = std::min(MAX_SLOWNESS, state.firstTokenMs / medianMs);
+    if (state.ownInFlight > 0) {
+        // One request at a time finds out whether a slow upstream has healed.
+        return ratio;
+    }
     const double age = toMilliseconds(now - state.firstTokenAt) / toMilliseconds(SLOWNESS_HALF_LIFE);
     return 1.0 + (ratio - 1.0) * std::exp2(-age);
 }
@@ -184,7 +190,8 @@
     }
     const double sample = toMilliseconds(latency);
     const bool first = state->firstTokenMs <= 0.0;
-    state->firstTokenMs = first ? sample : state->firstTokenMs + FIRST_TOKEN_WEIGHT * (sample - state->firstTokenMs);
+    const double weight = sample < state->firstTokenMs / 2.0 ? HEALED_WEIGHT : FIRST_TOKEN_WEIGHT;
+    state->firstTokenMs = first ? sample : state->firstTokenMs + weight * (sample - state->firstTokenMs);
     state->firstTokenAt = now;
 }
 
