--- a/src/config/tests/config_tests.cpp
+++ b/src/config/tests/config_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <random>
+
 using namespace daisymount;
 using framework::ResultCode;
 
@@ -130,6 +132,26 @@
     STRCMP_EQUAL(stored.toml.c_str(), decoded.toml.c_str());
 }
 
+TEST(ConfigLoader, damagedFilesGiveNumberedErrorsAndNeverACrash)
+{
+    std::mt19937_64 random(8);
+    const std::string valid = std::string(BASE) + OVERLAY;
+    const std::string alphabet = "[]={}.\"'#\n\t -+0123456789abcxyz\x80\xff";
+    int refused = 0;
+    for (int round = 0; round < 3000; ++round) {
+        std::string damaged = valid;
+        for (uint64_t edits = 1 + random() % 6; edits > 0; --edits) {
+            damaged[random() % damaged.size()] = alphabet[random() % alphabet.size()];
+        }
+        const config::LoadedConfig loaded = config::loadMerged(damaged);
+        for (const framework::Diagnostic &diagnostic : loaded.diagnostics) {
+            CHECK(framework::resultCodeInfo(diagnostic.code).code == diagnostic.code);
+        }
+        refused += loaded.diagnostics.empty() ? 0 : 1;
+    }
+    CHECK(refused > 1000);
+}
+
 TEST(ConfigLoader, refusesDamagedStoredForms)
 {
     for (const char *bad : {"", "[]", "{}", "{\"toml\":1,\"change_id\":\"x\",\"history\":[]}", "{\"toml\":\"\",\"change_id\":\"x\",\"history\":[1]}"}) {
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -4,6 +4,7 @@
 
 #include "membership/membershiptypes.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -18,6 +19,9 @@
 class Gossip
 {
 public:
+    /// Members and records are compared in this many parts.
+    static constexpr int64_t BUCKETS = 16;
+
     Gossip(GossipOptions options, GossipHooks hooks);
 
     /// Probes, expires suspicions, joins while alone. Call about ten times per period.
@@ -76,6 +80,8 @@
     void addRumour(Packet &packet, const std::string &id, size_t &bytes) const;
     void sendState(std::string_view address, std::optional<int64_t> bucket);
     uint64_t bucketHash(int64_t bucket) const;
+    void setMember(const Member &member);
+    void setRecord(const Record &record);
     std::vector<std::string> reachableMembers() const;
     Packet packetOf(PacketType type, uint64_t sequence) const;
 
@@ -84,6 +90,7 @@
     std::mt19937_64 random_;
     std::map<std::string, Member, std::less<>> members_; ///< Self included.
     std::map<std::string, Record, std::less<>> records_;
+    std::array<uint64_t, BUCKETS> bucketHashes_{}; ///< Of members and records; kept up to date by setMember and setRecord.
     std::map<std::string, Instant, std::less<>> heardAt_;
     std::map<std::string, Instant, std::less<>> suspectSince_;
     std::map<uint64_t, Relay> relays_; ///< By own sequence number.
--- a/src/membership/internal/gossip.cpp
+++ b/src/membership/internal/gossip.cpp
@@ -12,7 +12,7 @@
 
 namespace
 {
-constexpr int64_t BUCKETS = 16;
+constexpr int64_t BUCKETS = Gossip::BUCKETS;
 constexpr size_t INDIRECT_PROBES = 3;
 constexpr size_t URGENT_FANOUT = 4;
 /// Packets that carry a change, per doubling of the fleet.
@@ -35,6 +35,16 @@
     return static_cast<int64_t>(framework::hash64(id) % BUCKETS);
 }
 
+uint64_t hashOf(std::string_view id, const Member &member)
+{
+    return framework::hash64(id, member.incarnation * 4 + static_cast<uint64_t>(member.state));
+}
+
+uint64_t hashOf(std::string_view id, const Record &record)
+{
+    return framework::hash64(id, static_cast<uint64_t>(record.version));
+}
+
 size_t sizeOf(const Member &member)
 {
     return ITEM_OVERHEAD_BYTES + member.name.size() + member.role.size() + member.zone.size() + member.address.size();
@@ -48,7 +58,7 @@
 
 Gossip::Gossip(GossipOptions options, GossipHooks hooks) : options_(std::move(options)), hooks_(std::move(hooks)), random_(options_.seed)
 {
-    members_[options_.self.name] = options_.self;
+    setMember(options_.self);
 }
 
 const std::map<std::string, Member, std::less<>> &Gossip::members() const
@@ -162,20 +172,32 @@
 
 uint64_t Gossip::bucketHash(int64_t bucket) const
 {
-    uint64_t combined = 0;
-    for (const auto &[name, member] : members_) {
-        const std::string id = "m/" + name;
-        if (bucketOf(id) == bucket) {
-            combined ^= framework::hash64(id, member.incarnation * 4 + static_cast<uint64_t>(member.state));
-        }
+    const bool valid = bucket >= 0 && bucket < BUCKETS;
+    return valid ? bucketHashes_[static_cast<size_t>(bucket)] : 0;
+}
+
+void Gossip::setMember(const Member &member)
+{
+    const std::string id = "m/" + member.name;
+    uint64_t &hash = bucketHashes_[static_cast<size_t>(bucketOf(id))];
+    const auto [known, inserted] = members_.try_emplace(member.name, member);
+    if (!inserted) {
+        hash ^= hashOf(id, known->second);
+        known->second = member;
     }
-    for (const auto &[key, record] : records_) {
-        const std::string id = "r/" + key;
-        if (bucketOf(id) == bucket) {
-            combined ^= framework::hash64(id, static_cast<uint64_t>(record.version));
-        }
+    hash ^= hashOf(id, member);
+}
+
+void Gossip::setRecord(const Record &record)
+{
+    const std::string id = "r/" + record.key;
+    uint64_t &hash = bucketHashes_[static_cast<size_t>(bucketOf(id))];
+    const auto [known, inserted] = records_.try_emplace(record.key, record);
+    if (!inserted) {
+        hash ^= hashOf(id, known->second);
+        known->second = record;
     }
-    return combined;
+    hash ^= hashOf(id, record);
 }
 
 void Gossip::sendState(std::string_view address, std::optional<int64_t> bucket)
@@ -324,11 +346,11 @@
         refute(member, now);
         return;
     }
-    const auto [known, inserted] = members_.try_emplace(member.name, member);
-    if (!inserted && !supersedes(member, known->second)) {
+    const auto known = members_.find(member.name);
+    if (known != members_.end() && !supersedes(member, known->second)) {
         return;
     }
-    known->second = member;
+    setMember(member);
     suspectSince_.erase(member.name);
     if (member.state == MemberState::Suspect) {
         suspectSince_[member.name] = now;
@@ -341,22 +363,23 @@
 
 void Gossip::refute(const Member &claim, Instant /*now*/)
 {
-    Member &self = members_.find(options_.self.name)->second;
+    Member self = members_.find(options_.self.name)->second;
     const bool wrong = claim.incarnation >= self.incarnation && claim.state != self.state;
     if (!wrong) {
         return;
     }
     self.incarnation = claim.incarnation + 1;
+    setMember(self);
     spread("m/" + self.name);
 }
 
 void Gossip::mergeRecord(const Record &record, bool urgent, Instant /*now*/)
 {
-    const auto [known, inserted] = records_.try_emplace(record.key, record);
-    if (!inserted && record.version <= known->second.version) {
+    const auto known = records_.find(record.key);
+    if (known != records_.end() && record.version <= known->second.version) {
         return;
     }
-    known->second = record;
+    setRecord(record);
     spread("r/" + record.key);
     if (hooks_.recordChanged) {
         hooks_.recordChanged(record);
@@ -381,9 +404,10 @@
 
 void Gossip::leave(Instant /*now*/)
 {
-    Member &self = members_.find(options_.self.name)->second;
+    Member self = members_.find(options_.self.name)->second;
     self.state = MemberState::Leaving;
     ++self.incarnation;
+    setMember(self);
     spread("m/" + self.name);
     for (const std::string &name : reachableMembers()) {
         sendTo(name, packetOf(PacketType::Sync, 0));
--- a/src/node/controlplane.h
+++ b/src/node/controlplane.h
@@ -65,6 +65,7 @@
     ControlPlaneHooks hooks_;
     membership::Gossip gossip_;
     std::shared_ptr<membership::ConfigAgent> agent_;
+    Instant nextContactCheckAt_{0};
     Instant lastMajorityAt_{0}; ///< Last time that most of the region was reachable.
     bool started_ = false;
     bool cutOff_ = false;
--- a/src/node/internal/controlplane.cpp
+++ b/src/node/internal/controlplane.cpp
@@ -10,6 +10,11 @@
 using membership::Record;
 using membership::VersionedConfig;
 
+namespace
+{
+constexpr Duration CONTACT_CHECK_INTERVAL = framework::milliseconds{250};
+}
+
 ControlPlane::ControlPlane(ControlPlaneOptions options, platform::IPlatformStore &store, framework::IEventLog &log, ControlPlaneHooks hooks)
     : options_(std::move(options))
     , log_(log)
@@ -118,9 +123,10 @@
 
 void ControlPlane::checkContact(Instant now)
 {
-    if (config().revision == 0) {
+    if (config().revision == 0 || now < nextContactCheckAt_) {
         return;
     }
+    nextContactCheckAt_ = now + CONTACT_CHECK_INTERVAL;
     const Duration staleAfter = config().config.membership.staleAfter;
     const bool storeConfirms = agent_->confirmedAt() > Instant{0} && now - agent_->confirmedAt() < staleAfter;
     const bool majority = hasMajority();
