--- a/buildscripts/test.sh
+++ b/buildscripts/test.sh
@@ -19,10 +19,23 @@
     git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
 }
 
+# sanitized NAME SANITIZERS: builds with them and runs all test programs.
+sanitized() {
+    "$ROOT/buildscripts/build.sh" "$ROOT/build-$1" -DDAISYMOUNT_SANITIZER="$2" \
+        && ctest --test-dir "$ROOT/build-$1" --output-on-failure -j 4 | tail -4
+    return "${PIPESTATUS[0]}"
+}
+
 step install "$ROOT/buildscripts/install.sh"
 step format check_format
 step build "$ROOT/buildscripts/build.sh" "$BUILD"
 step tests ctest --test-dir "$BUILD" --output-on-failure -j 4
-[ "$QUICK" = --quick ] || step linter "$ROOT/buildscripts/lint.sh" "$BUILD"
+if [ "$QUICK" != --quick ]; then
+    step models "$ROOT/models/check.sh" "$BUILD/models"
+    step "address and undefined behaviour sanitizers" sanitized asan address,undefined
+    step "thread sanitizer" sanitized tsan thread
+    step "end to end" "$ROOT/buildscripts/e2e.sh" 1
+    step linter "$ROOT/buildscripts/lint.sh" "$BUILD"
+fi
 [ -s "$ROOT/KNOWN-RED.txt" ] && { echo "== known red, passed over:"; cat "$ROOT/KNOWN-RED.txt"; }
 exit $FAILED
