--- a/src/expertmap/internal/placement.cpp
+++ b/src/expertmap/internal/placement.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 /// A step must lower the highest load by at least this share of the mean load per move, or it is not worth its bytes.
-constexpr double MIN_GAIN_PER_MOVE = 0.002;
+constexpr double MIN_GAIN_PER_MOVE = 0.0005;
 
 /// One change of the map: expert @ref expert goes into @ref slot; for a swap the other way round as well.
 struct Step
