--- a/scenarios/world.cpp
+++ b/scenarios/world.cpp
@@ -1,6 +1,6 @@
 // Scenario world.
 
-#include "world.h"
+#include "worldnodes.h"
 
 #include "entry/entrymessages.h"
 #include "framework/hash.h"
@@ -25,18 +25,14 @@
 constexpr Duration TICK = milliseconds{5};
 constexpr Duration PROMISE_GRACE = seconds{3};
 constexpr Duration ENGINE_RESTART = milliseconds{1500};
-constexpr Duration FIRST_TOKEN = milliseconds{40};
 constexpr Duration BETWEEN_TOKENS = milliseconds{10};
-constexpr Duration PLAIN_LATENCY = milliseconds{30};
 constexpr Duration WATCH_LIMIT = milliseconds{1500};
 constexpr Duration PROBE_INTERVAL = milliseconds{500};
-constexpr Duration REVOKE_TIMEOUT = milliseconds{800};
 constexpr int64_t COLD_REQUESTS = 8;
 constexpr int64_t COLD_BEARS = 2;
 constexpr int64_t RAMP_COMPLETIONS = 2;
 constexpr size_t RECENT_EVENTS = 40;
 constexpr const char *ZONES[] = {"paredes", "penafiel", "lousada"};
-constexpr const char *CRASH_MARK = "CRASH";
 
 config::Config makeConfig(const SiteOptions &options, std::string &toml)
 {
@@ -68,169 +64,6 @@
 }
 } // namespace
 
-/// Collects the last events of all nodes.
-class World::Trace : public framework::IEventLog
-{
-public:
-    Trace(World &world, std::string node) : world_(world), node_(std::move(node))
-    { }
-
-    void report(const framework::Event &event) override
-    {
-        std::string line = node_ + " " + std::string(event.duty) + "." + std::string(event.name) + " code=" + std::to_string(static_cast<int>(event.code));
-        line += event.request.empty() ? "" : " request=" + event.request;
-        world_.record(line);
-    }
-
-private:
-    World &world_;
-    std::string node_;
-};
-
-/// One process's way to the platform's store: closed while the process is isolated, silent once it has ended.
-class World::NodeStore : public platform::IPlatformStore
-{
-public:
-    NodeStore(World &world, std::string name) : world_(world), name_(std::move(name))
-    { }
-
-    void read(std::string_view key, platform::ReadHandler handler) override
-    {
-        target().read(key, guard(std::move(handler)));
-    }
-
-    void compareAndSwap(std::string_view key, int64_t expected, std::string value, platform::WriteHandler handler) override
-    {
-        target().compareAndSwap(key, expected, std::move(value), [alive = alive_, handler = std::move(handler)](const framework::Ret &ret, int64_t revision) {
-            if (*alive) {
-                handler(ret, revision);
-            }
-        });
-    }
-
-    void watch(std::string_view key, int64_t known, platform::ReadHandler handler) override
-    {
-        target().watch(key, known, guard(std::move(handler)));
-    }
-
-    void close()
-    {
-        *alive_ = false;
-    }
-
-private:
-    platform::FakePlatformStore &target()
-    {
-        return world_.isolated_.count(name_) != 0 ? world_.unreachableStore_ : world_.store_;
-    }
-
-    platform::ReadHandler guard(platform::ReadHandler handler) const
-    {
-        return [alive = alive_, handler = std::move(handler)](const framework::Ret &ret, const platform::VersionedValue &value) {
-            if (*alive) {
-                handler(ret, value);
-            }
-        };
-    }
-
-    World &world_;
-    std::string name_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-};
-
-/// Engine or plain service behind a sidecar.
-struct World::Engine
-{
-    struct Work
-    {
-        attempts::AttemptRequest request;
-        int64_t next = 0;
-        int64_t total = 0;
-        Instant nextAt{0};
-    };
-
-    std::string name;
-    bool plain = false;
-    uint64_t incarnation = 1;
-    int64_t completed = 0;
-    Instant downUntil{0};
-    Instant stalledUntil{0};
-    std::map<AttemptId, Work> work;
-};
-
-struct World::Node
-{
-    std::string name;
-    std::unique_ptr<Trace> log;
-    std::unique_ptr<NodeStore> store;
-    std::unique_ptr<node::ControlPlane> plane;
-
-    Node() = default;
-    Node(const Node &) = delete;
-    Node &operator=(const Node &) = delete;
-
-    ~Node()
-    {
-        store->close();
-    }
-};
-
-class World::SidecarPorts : public sidecar::IEngineLink, public sidecar::IAttemptReplies
-{
-public:
-    SidecarPorts(World &world, std::string name) : world_(world), name_(std::move(name))
-    { }
-
-    void start(const attempts::AttemptRequest &request) override;
-    void cancel(AttemptId attempt) override;
-    void probe() override;
-    void send(AttemptId attempt, const AttemptEvent &event) override;
-
-    std::map<AttemptId, std::string> entryOf; ///< Entry that waits for each attempt.
-
-private:
-    World &world_;
-    std::string name_;
-};
-
-struct World::SidecarNode : public World::Node
-{
-    std::unique_ptr<SidecarPorts> ports;
-    std::unique_ptr<sidecar::SidecarCore> core;
-    Instant nextProbeAt{0};
-};
-
-class World::EntryTransport : public entry::IAttemptTransport, public entry::ICallerSink
-{
-public:
-    EntryTransport(World &world, std::string name) : world_(world), name_(std::move(name))
-    { }
-
-    void send(std::string_view address, const attempts::AttemptRequest &request) override;
-    void cancel(AttemptId attempt) override;
-    void revoke(std::string_view address, std::string_view key, uint64_t addressedTo, RevokeHandler handler) override;
-    void onToken(std::string_view request, int64_t offset, std::string_view text) override;
-    void onReply(std::string_view request, const entry::CallerReply &reply) override;
-
-    std::string nodeAt(std::string_view address) const;
-
-    std::map<AttemptId, std::string> sidecarOf; ///< Attempts in flight.
-
-private:
-    World &world_;
-    std::string name_;
-};
-
-struct World::EntryNode : public World::Node
-{
-    std::unique_ptr<EntryTransport> transport;
-    std::unique_ptr<entry::EntryControl> control;
-    std::unique_ptr<routing::Router> router;
-    std::unique_ptr<claims::ClaimsRegistry> claims;
-    std::unique_ptr<entry::EntryCore> core;
-    std::set<std::string> requests; ///< Ids of requests received.
-};
-
 World::World(const SiteOptions &options) : options_(options), now_(seconds{1000}), random_(options.seed), ledger_(PROMISE_GRACE)
 {
     std::string toml;
@@ -456,148 +289,7 @@
     }
 }
 
-// Entries.
-
-std::string World::EntryTransport::nodeAt(std::string_view address) const
-{
-    for (const auto &[name, upstream] : world_.config_.upstreams) {
-        if (upstream.address == address) {
-            return name;
-        }
-    }
-    return {};
-}
-
-void World::EntryTransport::send(std::string_view address, const attempts::AttemptRequest &request)
-{
-    const std::string sidecar = nodeAt(address);
-    const AttemptId attempt = request.attempt;
-    sidecarOf[attempt] = sidecar;
-    if (!world_.isUp(sidecar)) {
-        world_.post(name_, name_, true, [this, attempt] {
-            if (sidecarOf.erase(attempt) != 0) {
-                const Failure unreachable{ResultCode::UpstreamUnreachable, RunState::NotRun, Duration{0}, std::nullopt, std::nullopt};
-                world_.entries_.at(name_)->core->onAttemptEvent(attempt, unreachable, world_.now_);
-            }
-        });
-        return;
-    }
-    world_.post(name_, sidecar, true, [this, sidecar, request] {
-        SidecarNode &node = *world_.sidecars_.at(sidecar);
-        node.ports->entryOf[request.attempt] = name_;
-        node.core->onAttempt(request, world_.now_);
-    });
-}
-
-void World::EntryTransport::cancel(AttemptId attempt)
-{
-    const auto found = sidecarOf.find(attempt);
-    if (found == sidecarOf.end()) {
-        return;
-    }
-    const std::string sidecar = found->second;
-    sidecarOf.erase(found);
-    world_.post(name_, sidecar, true, [this, sidecar, attempt] { world_.sidecars_.at(sidecar)->core->onAttemptGone(attempt, world_.now_); });
-}
-
-void World::EntryTransport::revoke(std::string_view address, std::string_view key, uint64_t addressedTo, RevokeHandler handler)
-{
-    const std::string sidecar = nodeAt(address);
-    const auto answered = std::make_shared<bool>(false);
-    const auto finish = [answered, handler](RevokeVerdict verdict) {
-        if (!*answered) {
-            *answered = true;
-            handler(verdict);
-        }
-    };
-    world_.inFlight_.emplace(world_.now_ + REVOKE_TIMEOUT, Message{name_, name_, true, [finish] { finish(RevokeVerdict::Unknown); }});
-    world_.post(name_, sidecar, true, [this, sidecar, key = std::string(key), addressedTo, finish] {
-        const RevokeVerdict verdict = world_.sidecars_.at(sidecar)->core->onRevoke(key, addressedTo, world_.now_);
-        world_.post(sidecar, name_, true, [finish, verdict] { finish(verdict); });
-    });
-}
-
-void World::EntryTransport::onToken(std::string_view request, int64_t /*offset*/, std::string_view text)
-{
-    CallerView &view = world_.views_[std::string(request)];
-    view.streamed += text;
-    view.firstTokenAt = view.firstTokenAt == Instant{0} ? world_.now_ : view.firstTokenAt;
-}
-
-void World::EntryTransport::onReply(std::string_view request, const entry::CallerReply &reply)
-{
-    CallerView &view = world_.views_[std::string(request)];
-    view.replied = true;
-    view.reply = reply;
-    view.repliedAt = world_.now_;
-    world_.record("caller got " + std::string(request) + " code=" + std::to_string(static_cast<int>(reply.code)));
-    (reply.code == ResultCode::Ok ? world_.counters_.answered : world_.counters_.refused) += 1;
-}
-
-// Sidecars and engines.
-
-void World::SidecarPorts::start(const attempts::AttemptRequest &request)
-{
-    Engine &engine = *world_.engines_.at(name_);
-    if (world_.now_ < engine.downUntil) {
-        const AttemptId attempt = request.attempt;
-        world_.post(name_, name_, true, [this, attempt] {
-            const Failure refused{ResultCode::UpstreamUnreachable, RunState::NotRun, Duration{0}, std::nullopt, std::nullopt};
-            world_.sidecars_.at(name_)->core->onEngineEvent(attempt, refused, world_.now_);
-        });
-        return;
-    }
-    Engine::Work work{request, request.resumeFrom, 0, {}};
-    const size_t colon = request.body.rfind('#');
-    work.total = colon == std::string::npos ? 8 : std::stoll(request.body.substr(colon + 1));
-    work.nextAt = world_.now_ + (engine.plain ? PLAIN_LATENCY : FIRST_TOKEN);
-    engine.work[request.attempt] = work;
-    ++world_.counters_.executions;
-    const std::string key = request.executionKey.empty() ? std::string() : request.callerKey.empty() ? request.executionKey : request.callerKey;
-    world_.ledger_.onExecution(key, name_, world_.config_.upstreams.at(name_).zone, world_.now_);
-    world_.checkCold(name_);
-    if (request.body.find(CRASH_MARK) != std::string::npos) {
-        world_.crashEngine(name_);
-    }
-}
-
-void World::SidecarPorts::cancel(AttemptId attempt)
-{
-    world_.engines_.at(name_)->work.erase(attempt);
-}
-
-void World::SidecarPorts::probe()
-{
-    const Engine &engine = *world_.engines_.at(name_);
-    if (engine.plain) {
-        world_.post(name_, name_, true, [this] { world_.sidecars_.at(name_)->core->onProbe(std::nullopt, world_.now_); });
-        return;
-    }
-    const std::optional<uint64_t> incarnation = world_.now_ < engine.downUntil ? std::nullopt : std::optional<uint64_t>(engine.incarnation);
-    world_.post(name_, name_, true, [this, incarnation] { world_.sidecars_.at(name_)->core->onProbe(incarnation, world_.now_); });
-}
-
-void World::SidecarPorts::send(AttemptId attempt, const AttemptEvent &event)
-{
-    const auto found = entryOf.find(attempt);
-    if (found == entryOf.end()) {
-        return;
-    }
-    const std::string entry = found->second;
-    if (attempts::isFinal(event)) {
-        entryOf.erase(found);
-    }
-    world_.post(name_, entry, true, [this, entry, attempt, event] {
-        EntryNode &node = *world_.entries_.at(entry);
-        if (node.transport->sidecarOf.count(attempt) == 0) {
-            return;
-        }
-        if (attempts::isFinal(event)) {
-            node.transport->sidecarOf.erase(attempt);
-        }
-        node.core->onAttemptEvent(attempt, event, world_.now_);
-    });
-}
+// Engines.
 
 void World::checkCold(const std::string &upstream)
 {
--- a/src/sidecar/internal/sidecarcore.cpp
+++ b/src/sidecar/internal/sidecarcore.cpp
@@ -242,7 +242,11 @@
 
 void SidecarCore::finish(AttemptId id, const AttemptEvent &event, bool succeeded, Instant now)
 {
+    const bool wasCold = admission_.isCold();
     admission_.onFinished(id, succeeded, now);
+    if (wasCold && !admission_.isCold()) {
+        report("warmed_up", ResultCode::Ok, "");
+    }
     attempts_.erase(id);
     replies_.send(id, event);
     pollAdmission(now);
