--- a/src/daemon/sidecardaemon.cpp
+++ b/src/daemon/sidecardaemon.cpp
@@ -215,7 +215,7 @@
             target.begun = true;
             replies_->beginStream(target.exchange, 200, "text/event-stream");
         }
-        if (replies_->sendChunk(target.exchange, std::move(data)) != framework::ResultCode::Ok) {
+        if (replies_->sendChunk(target.exchange, data) != framework::ResultCode::Ok) {
             replies_->abort(target.exchange);
         }
         if (last) {
--- a/src/network/httpserver.h
+++ b/src/network/httpserver.h
@@ -73,7 +73,7 @@
     framework::ResultCode reply(ExchangeId exchange, HttpReply reply);
     /// Starts a chunked answer.
     framework::ResultCode beginStream(ExchangeId exchange, int status, std::string contentType);
-    framework::ResultCode sendChunk(ExchangeId exchange, std::string data);
+    framework::ResultCode sendChunk(ExchangeId exchange, std::string_view data);
     framework::ResultCode endStream(ExchangeId exchange);
     /// Breaks the connection off, so that the caller sees that the answer is incomplete.
     framework::ResultCode abort(ExchangeId exchange);
--- a/src/network/internal/httpserver.cpp
+++ b/src/network/internal/httpserver.cpp
@@ -94,7 +94,7 @@
     return inbox_->post([state = state_.get(), exchange, data = std::move(data)] { state->write(exchange, data, false); });
 }
 
-ResultCode ReplyPort::sendChunk(ExchangeId exchange, std::string data)
+ResultCode ReplyPort::sendChunk(ExchangeId exchange, std::string_view data)
 {
     std::ostringstream framed;
     framed << std::hex << data.size() << "\r\n" << data << "\r\n";
--- a/src/network/tests/network_tests.cpp
+++ b/src/network/tests/network_tests.cpp
@@ -8,6 +8,7 @@
 #include <pistache/peer.h>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -154,6 +155,10 @@
     const PeerPtr peer = requests.take();
     first.hangUp();
     gone.take();
+    // The descriptor is closed after the handler has been told; only then can its number be given again.
+    for (int wait = 0; wait < WAIT_MS && fcntl(peer->fd(), F_GETFD) != -1; ++wait) {
+        usleep(1000);
+    }
     RawCaller second(18091);
     second.request("/second");
     const PeerPtr reused = requests.take();
