Lint: rings take const references and drain what was queued at the start

Change: const references, and a drain that pops what is there at its start, so that a fast producer cannot hold a duty.

--- a/src/daemon/callergateway.cpp
+++ b/src/daemon/callergateway.cpp
@@ -80,7 +80,7 @@
     reply.status = status;
     reply.contentType = std::move(contentType);
     reply.body = std::move(body);
-    port_->reply(exchange, std::move(reply));
+    port_->reply(exchange, reply);
 }
 
 void CallerGateway::refuse(network::ExchangeId exchange, ResultCode code, Duration retryAfter)
@@ -97,7 +97,7 @@
     http.status = framework::resultCodeInfo(reply.code).httpStatus;
     http.headers = replyHeaders(request, reply);
     http.body = entry::renderRefusal(request, reply);
-    port_->reply(exchange, std::move(http));
+    port_->reply(exchange, http);
 }
 
 void CallerGateway::onToken(std::string_view request, int64_t /*offset*/, std::string_view text)
@@ -141,7 +141,7 @@
     http.headers = replyHeaders(id, reply);
     http.contentType = reply.contentType;
     http.body = open.api == CallerApi::Plain ? reply.body : entry::renderWhole(open.api, id, open.model, reply);
-    port_->reply(open.exchange, std::move(http));
+    port_->reply(open.exchange, http);
 }
 
 void CallerGateway::finishStream(const std::string &request, const Open &open, const CallerReply &reply)
--- a/src/daemon/controlduty.cpp
+++ b/src/daemon/controlduty.cpp
@@ -126,7 +126,7 @@
 {
     network::HttpReply reply;
     reply.body = rpc_.handle(body);
-    replies_->reply(exchange, std::move(reply));
+    replies_->reply(exchange, reply);
 }
 
 void ControlDuty::publish(std::string_view key, std::string_view value, bool urgent)
--- a/src/daemon/sidecardaemon.cpp
+++ b/src/daemon/sidecardaemon.cpp
@@ -196,7 +196,7 @@
     reply.status = status;
     reply.contentType = std::move(contentType);
     reply.body = std::move(body);
-    replies_->reply(exchange, std::move(reply));
+    replies_->reply(exchange, reply);
 }
 
 void SidecarDaemon::send(AttemptId attempt, const AttemptEvent &event)
--- a/src/entry/entrycore.h
+++ b/src/entry/entrycore.h
@@ -153,7 +153,7 @@
 
     // The end.
     void refuse(Request &request, ResultCode code, RunState ran, Duration retryAfter);
-    void reply(Request &request, CallerReply reply);
+    void reply(Request &request, const CallerReply &reply);
     void recordOutcome(const Request &request, ResultCode code);
     void finishKeyed(Request &request, const claims::StoredAnswer &answer);
     void eraseIfDone(const std::string &id);
--- a/src/entry/internal/entrychecks.cpp
+++ b/src/entry/internal/entrychecks.cpp
@@ -156,7 +156,7 @@
         stored.contentType = outcome.answer.contentType;
         stored.body = outcome.answer.body;
         stored.replayed = true;
-        reply(*request, std::move(stored));
+        reply(*request, stored);
     } else if (outcome.verdict == RepeatVerdict::Unknown) {
         refuse(*request, ResultCode::OutcomeUnknown, RunState::Unknown, Duration{0});
     } else {
--- a/src/entry/internal/entrycontrol.cpp
+++ b/src/entry/internal/entrycontrol.cpp
@@ -168,6 +168,7 @@
     std::sort(ranked.rbegin(), ranked.rend());
     ranked.resize(std::min(ranked.size(), ADDRESSES_PER_ANSWER));
     std::vector<std::string> addresses;
+    addresses.reserve(ranked.size());
     for (auto &[rank, address] : ranked) {
         addresses.push_back(std::move(address));
     }
--- a/src/entry/internal/entrycore.cpp
+++ b/src/entry/internal/entrycore.cpp
@@ -250,7 +250,7 @@
     whole.body = request.stream.text();
     whole.tokens = request.stream.nextOffset();
     finishKeyed(request, {whole.status, whole.contentType, whole.body});
-    reply(request, std::move(whole));
+    reply(request, whole);
 }
 
 void EntryCore::onAnswer(Request &request, const attempts::Answer &answer, Instant now)
@@ -270,7 +270,7 @@
     whole.contentType = answer.contentType;
     whole.body = answer.body;
     finishKeyed(request, {answer.status, answer.contentType, answer.body});
-    reply(request, std::move(whole));
+    reply(request, whole);
 }
 
 void EntryCore::onFailure(Request &request, const Failure &failure, Instant now)
--- a/src/entry/internal/entryend.cpp
+++ b/src/entry/internal/entryend.cpp
@@ -42,7 +42,7 @@
         requestOfClaim_.erase(request.claimId);
     }
     report("refused", code, request);
-    reply(request, std::move(refusal));
+    reply(request, refusal);
 }
 
 void EntryCore::finishKeyed(Request &request, const claims::StoredAnswer &answer)
@@ -55,7 +55,7 @@
     parts_.claims.complete(request.caller.service, claimKey(request), {request.claimId, answer, false}, now_, hooks_.unixMs());
 }
 
-void EntryCore::reply(Request &request, CallerReply reply)
+void EntryCore::reply(Request &request, const CallerReply &reply)
 {
     if (request.replied) {
         return;
--- a/src/framework/ring.h
+++ b/src/framework/ring.h
@@ -20,18 +20,24 @@
     explicit Ring(size_t capacity) : queue_(capacity)
     { }
 
-    /// Returns ResultCode::QueueFull when the consumer is behind by the whole capacity. @p item is consumed on success only.
-    ResultCode push(T &&item)
+    /// Returns ResultCode::QueueFull when the consumer is behind by the whole capacity.
+    ResultCode push(const T &item)
     {
-        // spsc_queue copies or moves from an rvalue only when it has room.
-        return queue_.push(std::move(item)) ? ResultCode::Ok : ResultCode::QueueFull;
+        return queue_.push(item) ? ResultCode::Ok : ResultCode::QueueFull;
     }
 
-    /// Hands each queued item to @p consume; returns how many there were.
+    /// Hands each item that is queued now to @p consume; returns how many there were.
     template<typename Consume>
     size_t drain(Consume &&consume)
     {
-        return queue_.consume_all([&](T &item) { consume(std::move(item)); });
+        // Items that arrive meanwhile wait for the next call, so that a fast producer cannot hold the consumer here.
+        const size_t available = queue_.read_available();
+        for (size_t taken = 0; taken < available; ++taken) {
+            T item{};
+            queue_.pop(item);
+            consume(std::move(item));
+        }
+        return available;
     }
 
 private:
--- a/src/network/dutythread.h
+++ b/src/network/dutythread.h
@@ -26,7 +26,7 @@
     Inbox(size_t capacity, std::function<void()> wake);
 
     /// Returns ResultCode::QueueFull when the duty is behind by the whole capacity.
-    framework::ResultCode post(Task task);
+    framework::ResultCode post(const Task &task);
     /// Runs all posted tasks on the calling thread; returns how many.
     size_t run();
 
--- a/src/network/httpserver.h
+++ b/src/network/httpserver.h
@@ -70,9 +70,9 @@
 public:
     explicit ReplyPort(std::shared_ptr<ReactorState> state);
 
-    framework::ResultCode reply(ExchangeId exchange, HttpReply reply);
+    framework::ResultCode reply(ExchangeId exchange, const HttpReply &reply);
     /// Starts a chunked answer.
-    framework::ResultCode beginStream(ExchangeId exchange, int status, std::string contentType);
+    framework::ResultCode beginStream(ExchangeId exchange, int status, std::string_view contentType);
     framework::ResultCode sendChunk(ExchangeId exchange, std::string_view data);
     framework::ResultCode endStream(ExchangeId exchange);
     /// Breaks the connection off, so that the caller sees that the answer is incomplete.
--- a/src/network/internal/dutythread.cpp
+++ b/src/network/internal/dutythread.cpp
@@ -16,16 +16,16 @@
 Inbox::Inbox(size_t capacity, std::function<void()> wake) : ring_(capacity), wake_(std::move(wake))
 { }
 
-framework::ResultCode Inbox::post(Task task)
+framework::ResultCode Inbox::post(const Task &task)
 {
-    const framework::ResultCode code = ring_.push(std::move(task));
+    const framework::ResultCode code = ring_.push(task);
     wake_();
     return code;
 }
 
 size_t Inbox::run()
 {
-    return ring_.drain([](Task task) { task(); });
+    return ring_.drain([](const Task &task) { task(); });
 }
 
 WakeUp::WakeUp() : descriptor_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
--- a/src/network/internal/httpserver.cpp
+++ b/src/network/internal/httpserver.cpp
@@ -82,13 +82,13 @@
 ReplyPort::ReplyPort(std::shared_ptr<ReactorState> state) : state_(std::move(state)), inbox_(state_->makeInbox())
 { }
 
-ResultCode ReplyPort::reply(ExchangeId exchange, HttpReply reply)
+ResultCode ReplyPort::reply(ExchangeId exchange, const HttpReply &reply)
 {
     std::string data = renderHead(reply.status, reply.contentType, reply.headers, static_cast<int64_t>(reply.body.size())) + reply.body;
     return inbox_->post([state = state_.get(), exchange, data = std::move(data)] { state->write(exchange, data, true); });
 }
 
-ResultCode ReplyPort::beginStream(ExchangeId exchange, int status, std::string contentType)
+ResultCode ReplyPort::beginStream(ExchangeId exchange, int status, std::string_view contentType)
 {
     std::string data = renderHead(status, contentType, {{"Cache-Control", "no-cache"}}, -1);
     return inbox_->post([state = state_.get(), exchange, data = std::move(data)] { state->write(exchange, data, false); });
--- a/standins/standinserver.cpp
+++ b/standins/standinserver.cpp
@@ -50,7 +50,7 @@
     network::HttpReply reply;
     reply.status = status;
     reply.body = framework::writeJson(body);
-    port_->reply(exchange, std::move(reply));
+    port_->reply(exchange, reply);
 }
 
 network::ReplyPort &StandInServer::port()
