Of several registrations at one address the newest owns it

Cause: after all machines lost power the controller found 24 ranks for a group of 12 (dead registrations stand until their leases end) and told every gateway for 2 s that the group was down; gateways sent 49 requests to ids that were gone (421). Ruled out: late reports (all 24 answered), the store (regained 0.3 s after the start).

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -61,7 +61,8 @@
     bool applyConfig(const StoredItem &item);
     /// Replaces the zones that are out of service. Ignored when @p revision is older than the last one.
     bool applyZonesOut(std::set<std::string> zones, int64_t revision);
-    /// Replaces the upstreams by those in @p snapshot. Upstreams missing from it stay until the grace after an outage ends.
+    /// Replaces the upstreams by those in @p snapshot. Upstreams missing from it stay until the grace after an outage ends. Of several
+    /// at one address only the one registered last is kept: after a crash the earlier registration stands until its lease ends.
     void applyUpstreams(const Snapshot &snapshot, Instant now);
     /// The store answers again after an outage: registrations that lapsed meanwhile get LAPSED_GRACE to return.
     void onStoreRegained(Instant now);
@@ -87,6 +88,7 @@
 
 private:
     void compile();
+    void dropSuperseded();
 
     FleetDecoder decoder_;
     std::shared_ptr<const FleetConfig> config_; ///< Never null; version 0 before the first configuration.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -70,6 +70,18 @@
             entry = upstreams_.erase(entry);
         }
     }
+    dropSuperseded();
+}
+
+void FleetView::dropSuperseded()
+{
+    // The store's revisions tell the order; the upstreams' own clocks may have been set back.
+    std::map<std::string_view, int64_t> newest;
+    for (const auto &[id, known] : upstreams_) {
+        int64_t &revision = newest[known.upstream.address];
+        revision = std::max(revision, known.revision);
+    }
+    std::erase_if(upstreams_, [&](const auto &entry) { return entry.second.revision < newest.at(entry.second.upstream.address); });
 }
 
 void FleetView::onStoreRegained(Instant now)
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -28,6 +28,7 @@
     return config;
 }
 
+/// Decodes "state" or "state@address"; without an address each upstream has one of its own.
 std::optional<Upstream> decodeTestUpstream(std::string_view id, std::string_view value)
 {
     if (value == "bad") {
@@ -35,8 +36,9 @@
     }
     Upstream upstream;
     upstream.id = id;
-    upstream.address = "10.0.0.1:1";
-    upstream.state = value == "draining" ? UpstreamState::Draining : UpstreamState::Ready;
+    const size_t at = value.find('@');
+    upstream.address = at == std::string_view::npos ? "10.0.0.1:" + std::string(id) : std::string(value.substr(at + 1));
+    upstream.state = value.starts_with("draining") ? UpstreamState::Draining : UpstreamState::Ready;
     return upstream;
 }
 } // namespace
@@ -130,6 +132,25 @@
     CHECK(view.upstreams().empty());
 }
 
+TEST(FleetView, theNewestRegistrationOwnsItsAddress)
+{
+    upstreams(10, {{"before", "ready@10.0.0.9:1", 9}, {"other", "ready@10.0.0.8:1", 9}});
+    upstreams(12, {{"before", "ready@10.0.0.9:1", 9}, {"after", "ready@10.0.0.9:1", 12}, {"other", "ready@10.0.0.8:1", 9}});
+    LONGS_EQUAL(2, view.upstreams().size());
+    CHECK(view.upstreams().contains("after"));
+    upstreams(13, {{"before", "ready@10.0.0.9:1", 9}, {"after", "ready@10.0.0.9:1", 12}, {"other", "ready@10.0.0.8:1", 9}});
+    CHECK_FALSE(view.upstreams().contains("before"));
+}
+
+TEST(FleetView, aLapsedRegistrationDoesNotKeepAnAddressThatWasTakenOver)
+{
+    upstreams(10, {{"before", "ready@10.0.0.9:1", 9}});
+    view.onStoreRegained(now);
+    upstreams(20, {{"after", "ready@10.0.0.9:1", 20}});
+    LONGS_EQUAL(1, view.upstreams().size());
+    CHECK(view.upstreams().contains("after"));
+}
+
 TEST(FleetView, zonesFollowTheNewestRevision)
 {
     CHECK(view.applyZonesOut({"a"}, 5));
