The map controller goes on while the store is silent

Nobody can take the lease meanwhile; the ranks' fencing keeps a holder that is cut off by itself from harm.

--- a/src/gateway/internal/maplease.cpp
+++ b/src/gateway/internal/maplease.cpp
@@ -40,22 +40,22 @@
 
 bool MapLease::held() const
 {
-    return lease_ != 0 && bootTime() < validUntil_;
+    return term_.mayOrder(bootTime());
 }
 
 int64_t MapLease::fencing() const
 {
-    return fencing_;
+    return term_.fencing();
 }
 
 void MapLease::drop(std::string_view reason)
 {
-    if (lease_ == 0) {
+    if (!term_.active()) {
         return;
     }
-    lease_ = 0;
+    term_.end();
     context_.peers.self().controlsMaps = false;
-    context_.log.report({"maps", "control_lost", ResultCode::LeaseLapsed, "", {{"fencing", std::to_string(fencing_)}, {"reason", std::string(reason)}}});
+    context_.log.report({"maps", "control_lost", ResultCode::LeaseLapsed, "", {{"fencing", std::to_string(term_.fencing())}, {"reason", std::string(reason)}}});
 }
 
 bool MapLease::shouldTry() const
@@ -80,18 +80,19 @@
 asio::awaitable<void> MapLease::run()
 {
     while (true) {
-        if (lease_ != 0 && bootTime() >= validUntil_) {
-            drop("not renewed in time");
+        const std::string_view ended = term_.endReason(bootTime());
+        if (!ended.empty()) {
+            drop(ended);
         }
         const bool leaving = context_.draining && (!busy_() || framework::monotonicNow() - context_.drainingSince > LONGEST_HANDOVER);
-        if (lease_ != 0 && leaving) {
+        if (term_.active() && leaving) {
             co_await release();
-        } else if (lease_ != 0) {
+        } else if (term_.active()) {
             co_await renew();
         } else if (shouldTry()) {
             co_await acquire();
         }
-        const milliseconds pause = lease_ == 0 ? TRY_PAUSE : context_.draining ? HANDOVER_POLL : RENEWAL;
+        const milliseconds pause = !term_.active() ? TRY_PAUSE : context_.draining ? HANDOVER_POLL : RENEWAL;
         co_await transport::sleepFor(pause);
     }
 }
@@ -124,29 +125,29 @@
         // A lost reply may have taken effect: the key then lives as long as the lease, which nobody renews.
         co_return;
     }
-    lease_ = lease.id;
-    fencing_ = revision;
-    validUntil_ = asked + lease.ttl - SAFETY;
+    term_.begin(lease.id, revision, asked + lease.ttl - SAFETY, bootTime());
     context_.peers.self().controlsMaps = true;
-    context_.log.report({"maps", "control_gained", ResultCode::Ok, "", {{"fencing", std::to_string(fencing_)}}});
+    context_.log.report({"maps", "control_gained", ResultCode::Ok, "", {{"fencing", std::to_string(revision)}}});
 }
 
 asio::awaitable<void> MapLease::renew()
 {
     const Instant asked = bootTime();
-    const platform::HttpCall keep = platform::keepLeaseCall(lease_);
+    const platform::HttpCall keep = platform::keepLeaseCall(term_.lease());
     const transport::HttpReply reply = co_await context_.caller.call(context_.settings.store.address, keep.method, keep.target, keep.body, CALL_PATIENCE);
     const framework::Ret kept = framework::attempt([&] { return platform::decodeKeep(reply.status); });
     if (kept) {
-        validUntil_ = std::max(validUntil_, asked + LEASE_TTL - SAFETY);
+        term_.onKept(asked + LEASE_TTL - SAFETY);
     } else if (kept.code == ResultCode::LeaseLapsed) {
         drop("the store has ended the lease");
+    } else {
+        term_.onSilence();
     }
 }
 
 asio::awaitable<void> MapLease::release()
 {
-    const platform::HttpCall end = platform::endLeaseCall(lease_);
+    const platform::HttpCall end = platform::endLeaseCall(term_.lease());
     drop("graceful shutdown");
     co_await context_.caller.call(context_.settings.store.address, end.method, end.target, end.body, CALL_PATIENCE);
 }
--- a/src/gateway/maplease.h
+++ b/src/gateway/maplease.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "gateway/controlterm.h"
 #include "gateway/gatewaycontext.h"
 #include "platform/storecodec.h"
 
@@ -21,7 +22,7 @@
     /// Acquires, renews or gives up the lease as needed. Runs as long as the process.
     transport::asio::awaitable<void> run();
 
-    /// True while the lease certainly has not ended.
+    /// True while orders may be given: the lease has not ended, or the store is silent and nobody can have taken it.
     bool held() const;
     /// Revision of the store at which the lease was acquired; orders with a lower number are refused.
     int64_t fencing() const;
@@ -36,9 +37,7 @@
 
     GatewayContext &context_;
     std::function<bool()> busy_;
-    int64_t lease_ = 0;
-    int64_t fencing_ = 0;
-    Instant validUntil_{0}; ///< By the clock that goes on while the machine is suspended.
+    ControlTerm term_;
 };
 
 } // namespace daisymount::gateway
