Admission by slots and pass time, stalled groups seen from streams, faster map changes

Pause objective now comes from the routes: pass_ms is another bound and differs on the larger deployments.

--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -22,16 +23,29 @@
 
 struct AdmissionOptions
 {
-    int requestsPerEngine = 11; ///< Over all entries; beyond it passes outlast the pause that a stream may have.
-    int extraForReturning = 1; ///< Further requests per engine for callers that were refused before: they do not come a third time.
+    double partOfSlots = 11.0 / 12.0; ///< Of the engines' slots that fresh callers may take, over all entries.
+    double leastPartOfSlots = 0.5; ///< Stays open however long passes are: late answers are worth more than none.
+    double unknownPartOfSlots = 2.0 / 3.0; ///< Of a group whose passes have not been seen: it may have formed anew, with experts in turn.
+    double partOfPause = 0.75; ///< Of the permitted pause that a mean pass may take: single passes are longer.
     milliseconds longestWait{110}; ///< For a place; a stream that waits this long still gets its first event in time.
     milliseconds serviceTime{2'200}; ///< That a usual stream needs once it is let in.
 };
 
+/// Published timing of a step of the engines.
+struct StepTiming
+{
+    double baseMs = 0.0;
+    double perSequenceMs = 0.0; ///< For each request that is being written; 0 when not known.
+};
+
 struct AdmissionView
 {
     int inFlight = 0; ///< Over all entries, as far as known.
     int engines = 0;
+    int slotsPerEngine = 0;
+    StepTiming timing;
+    std::optional<Duration> passTime; ///< Mean of the last passes, as this entry's streams show it.
+    Duration pause{0}; ///< Longest that a stream of the route may have, 0 when not stated.
     bool groupDown = false; ///< The group has lost a rank and makes no passes.
     bool returning = false; ///< The caller was refused before.
     Duration waited{0};
@@ -58,6 +72,8 @@
     AdmissionDecision decide(const AdmissionView &view);
 
 private:
+    /// Requests that may be at the engines.
+    double places(const AdmissionView &view) const;
     milliseconds spread(milliseconds from, milliseconds to);
 
     AdmissionOptions options_;
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/engineadmission.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace daisymount::dispatch
 {
@@ -37,8 +38,7 @@
         }
         return {Admission::Refuse, spread(part(EARLIEST_RETURN_DOWN), part(LATEST_RETURN_DOWN))};
     }
-    const int places = options_.requestsPerEngine + (view.returning ? options_.extraForReturning : 0);
-    if (view.inFlight < view.engines * places) {
+    if (view.inFlight < places(view)) {
         return {Admission::Admit, milliseconds{0}};
     }
     if (view.waited < options_.longestWait) {
@@ -47,6 +47,34 @@
     return {Admission::Refuse, spread(part(EARLIEST_RETURN), part(LATEST_RETURN))};
 }
 
+double EngineAdmission::places(const AdmissionView &view) const
+{
+    const double slots = static_cast<double>(view.engines) * view.slotsPerEngine;
+    if (view.slotsPerEngine <= 0) {
+        return std::numeric_limits<double>::infinity(); // The service does not tell: the engines refuse by themselves.
+    }
+    if (!view.passTime) {
+        return slots * options_.unknownPartOfSlots;
+    }
+    // Callers that come back do not come a third time: they may take the last slots.
+    const double most = slots * (view.returning ? 1.0 : options_.partOfSlots);
+    const double wanted = options_.partOfPause * static_cast<double>(view.pause.count());
+    if (wanted <= 0.0 || view.timing.perSequenceMs <= 0.0 || view.engines == 0) {
+        return most;
+    }
+    // All steps of a pass scale with the most loaded rank, so the ratio of two passes is that of their steps.
+    const double stepNow = view.timing.baseMs + view.timing.perSequenceMs * view.inFlight / view.engines;
+    const double stepWanted = stepNow * wanted / static_cast<double>(view.passTime->count());
+    const double perEngine = (stepWanted - view.timing.baseMs) / view.timing.perSequenceMs;
+    const double least = slots * options_.leastPartOfSlots;
+    const double stepAtLeast = view.timing.baseMs + view.timing.perSequenceMs * least / view.engines;
+    const double passAtLeast = static_cast<double>(view.passTime->count()) * stepAtLeast / stepNow;
+    if (passAtLeast > static_cast<double>(view.pause.count())) {
+        return most; // Fewer requests would be late as well, as with a slow engine in the group.
+    }
+    return std::clamp(perEngine * view.engines, least, most);
+}
+
 milliseconds EngineAdmission::spread(milliseconds from, milliseconds to)
 {
     const int64_t span = std::max<int64_t>(1, (to - from).count());
--- a/src/dispatch/tests/dispatch_tests.cpp
+++ b/src/dispatch/tests/dispatch_tests.cpp
@@ -1,7 +1,6 @@
 // Tests of placing, refusing and repeating, without a network.
 
 #include "dispatch/dispatcher.h"
-#include "dispatch/engineadmission.h"
 #include "dispatch/retryshare.h"
 
 #include <CppUTest/TestHarness.h>
@@ -208,81 +207,3 @@
     CHECK_FALSE(share.tryRepeat("s", 1, START + std::chrono::seconds{5}));
     CHECK(share.tryRepeat("s", 1, START + std::chrono::seconds{11}));
 }
-
-TEST_GROUP(EngineAdmission)
-{
-    EngineAdmission admission{{}, 3};
-    AdmissionView view;
-
-    void setup() override
-    {
-        view.engines = 12;
-        view.left = std::chrono::seconds{8};
-    }
-};
-
-TEST(EngineAdmission, admitsBelowTheLimitAndWaitsAtIt)
-{
-    view.inFlight = 12 * 11 - 1;
-    CHECK(admission.decide(view).admission == Admission::Admit);
-    view.inFlight = 12 * 11;
-    CHECK(admission.decide(view).admission == Admission::Wait);
-}
-
-TEST(EngineAdmission, refusesAfterAShortWaitWithATimeThatTheCallerHonours)
-{
-    view.inFlight = 12 * 11;
-    view.waited = std::chrono::milliseconds{200};
-    for (int i = 0; i < 100; ++i) {
-        const AdmissionDecision decision = admission.decide(view);
-        CHECK(decision.admission == Admission::Refuse);
-        CHECK(decision.retryAfter > milliseconds{100});
-        CHECK(decision.retryAfter <= milliseconds{8'000 / 3});
-    }
-}
-
-TEST(EngineAdmission, callersThatWereRefusedBeforeGoFirst)
-{
-    view.inFlight = 12 * 11;
-    view.returning = true;
-    CHECK(admission.decide(view).admission == Admission::Admit);
-}
-
-TEST(EngineAdmission, aGroupOutageIsRefusedAtOnceTheFirstTime)
-{
-    view.groupDown = true;
-    const AdmissionDecision decision = admission.decide(view);
-    CHECK(decision.admission == Admission::Refuse);
-    CHECK(decision.retryAfter >= milliseconds{2'000});
-    CHECK(decision.retryAfter <= milliseconds{8'000 / 3});
-}
-
-TEST(EngineAdmission, theSecondTimeItWaitsWhileItCanStillBeServed)
-{
-    view.groupDown = true;
-    view.returning = true;
-    view.left = std::chrono::milliseconds{5'000};
-    CHECK(admission.decide(view).admission == Admission::Wait);
-    view.left = std::chrono::milliseconds{2'000};
-    CHECK(admission.decide(view).admission == Admission::Refuse);
-}
-
-TEST_GROUP(ReturningCallers)
-{
-    ReturningCallers callers;
-};
-
-TEST(ReturningCallers, areKnownByAShorterDeadline)
-{
-    CHECK_FALSE(callers.isReturning("r", milliseconds{8'000}, START));
-    CHECK(callers.isReturning("r", milliseconds{5'600}, START));
-    CHECK_FALSE(callers.isReturning("r", milliseconds{7'950}, START));
-    CHECK_FALSE(callers.isReturning("other", milliseconds{3'000}, START));
-}
-
-TEST(ReturningCallers, anEarlierLongerDeadlineIsForgotten)
-{
-    callers.isReturning("r", milliseconds{8'000}, START);
-    const Instant later = START + std::chrono::seconds{30};
-    CHECK_FALSE(callers.isReturning("r", milliseconds{4'000}, later));
-}
--- /dev/null
+++ b/src/dispatch/tests/engineadmission_tests.cpp
@@ -0,0 +1,217 @@
+// Tests of admission in front of lock-step engines and of the pass times that it goes by.
+
+#include "dispatch/engineadmission.h"
+#include "dispatch/passpace.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount::dispatch;
+
+namespace
+{
+constexpr Instant START{std::chrono::seconds{100}};
+} // namespace
+
+TEST_GROUP(EngineAdmission)
+{
+    EngineAdmission admission{{}, 3};
+    AdmissionView view;
+
+    void setup() override
+    {
+        view.engines = 12;
+        view.slotsPerEngine = 12;
+        view.pause = milliseconds{120};
+        view.timing = {5.85, 0.355};
+        view.passTime = milliseconds{60};
+        view.left = std::chrono::seconds{8};
+    }
+};
+
+TEST(EngineAdmission, admitsBelowTheLimitAndWaitsAtIt)
+{
+    view.inFlight = 12 * 11 - 1;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+    view.inFlight = 12 * 11;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+}
+
+TEST(EngineAdmission, refusesAfterAShortWaitWithATimeThatTheCallerHonours)
+{
+    view.inFlight = 12 * 11;
+    view.waited = std::chrono::milliseconds{200};
+    for (int i = 0; i < 100; ++i) {
+        const AdmissionDecision decision = admission.decide(view);
+        CHECK(decision.admission == Admission::Refuse);
+        CHECK(decision.retryAfter > milliseconds{100});
+        CHECK(decision.retryAfter <= milliseconds{8'000 / 3});
+    }
+}
+
+TEST(EngineAdmission, callersThatWereRefusedBeforeGoFirst)
+{
+    view.inFlight = 12 * 11;
+    view.returning = true;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, engineSlotsBoundThePlaces)
+{
+    view.engines = 63;
+    view.slotsPerEngine = 10;
+    view.inFlight = 63 * 10;
+    view.returning = true;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.returning = false;
+    view.inFlight = 63 * 9 - 1;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+    view.inFlight = 63 * 10 - 30;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+}
+
+TEST(EngineAdmission, shortPassesLeaveAllPlacesOpen)
+{
+    view.inFlight = 12 * 11 - 1;
+    view.passTime = milliseconds{70};
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, passesNearThePermittedPauseCloseTheLastPlaces)
+{
+    view.inFlight = 12 * 11 - 1;
+    view.passTime = milliseconds{110};
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.inFlight = 12 * 6 - 1;
+    view.passTime = milliseconds{88};
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, halfOfThePlacesStayOpen)
+{
+    view.inFlight = 12 * 11;
+    view.passTime = milliseconds{140};
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.inFlight = 12 * 6 - 1;
+    view.passTime = milliseconds{118};
+    CHECK(admission.decide(view).admission == Admission::Admit);
+    view.inFlight = 12 * 6;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+}
+
+TEST(EngineAdmission, passesThatNoRefusalWouldShortenEnoughCloseNoPlaces)
+{
+    view.passTime = milliseconds{300};
+    view.inFlight = 12 * 11 - 1;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, aGroupWhosePassesAreNotKnownIsFilledInPart)
+{
+    view.passTime.reset();
+    view.inFlight = 12 * 8;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.inFlight = 12 * 8 - 1;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, aGroupOutageIsRefusedAtOnceTheFirstTime)
+{
+    view.groupDown = true;
+    const AdmissionDecision decision = admission.decide(view);
+    CHECK(decision.admission == Admission::Refuse);
+    CHECK(decision.retryAfter >= milliseconds{2'000});
+    CHECK(decision.retryAfter <= milliseconds{8'000 / 3});
+}
+
+TEST(EngineAdmission, theSecondTimeItWaitsWhileItCanStillBeServed)
+{
+    view.groupDown = true;
+    view.returning = true;
+    view.left = std::chrono::milliseconds{5'000};
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.left = std::chrono::milliseconds{2'000};
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+}
+
+TEST_GROUP(ReturningCallers)
+{
+    ReturningCallers callers;
+};
+
+TEST(ReturningCallers, areKnownByAShorterDeadline)
+{
+    CHECK_FALSE(callers.isReturning("r", milliseconds{8'000}, START));
+    CHECK(callers.isReturning("r", milliseconds{5'600}, START));
+    CHECK_FALSE(callers.isReturning("r", milliseconds{7'950}, START));
+    CHECK_FALSE(callers.isReturning("other", milliseconds{3'000}, START));
+}
+
+TEST(ReturningCallers, anEarlierLongerDeadlineIsForgotten)
+{
+    callers.isReturning("r", milliseconds{8'000}, START);
+    const Instant later = START + std::chrono::seconds{30};
+    CHECK_FALSE(callers.isReturning("r", milliseconds{4'000}, later));
+}
+
+TEST_GROUP(PassPace)
+{
+    PassPace pace;
+
+    void pass(Instant at, milliseconds length, int streams)
+    {
+        for (int i = 0; i < streams; ++i) {
+            pace.onEvents("s", length, 1, at);
+        }
+    }
+};
+
+TEST(PassPace, isUnknownBeforeEnoughEventsHaveCome)
+{
+    CHECK_FALSE(pace.passTime("s", START).has_value());
+    pass(START, milliseconds{60}, 3);
+    CHECK_FALSE(pace.passTime("s", START).has_value());
+}
+
+TEST(PassPace, isTheMeanOfTheNewestPasses)
+{
+    pass(START, milliseconds{60}, 10);
+    pass(START + milliseconds{80}, milliseconds{80}, 10);
+    const auto mean = pace.passTime("s", START + milliseconds{100});
+    CHECK(mean.has_value());
+    LONGS_EQUAL(70, std::chrono::duration_cast<milliseconds>(*mean).count());
+    CHECK_FALSE(pace.passTime("other", START).has_value());
+}
+
+TEST(PassPace, severalEventsAtOnceShareTheGap)
+{
+    for (int i = 0; i < 10; ++i) {
+        pace.onEvents("s", milliseconds{120}, 2, START);
+    }
+    LONGS_EQUAL(60, std::chrono::duration_cast<milliseconds>(*pace.passTime("s", START)).count());
+}
+
+TEST(PassPace, forgetsWithinASecondAndLeavesOutagesOut)
+{
+    pass(START, milliseconds{60}, 10);
+    pass(START, milliseconds{2'000}, 10);
+    LONGS_EQUAL(60, std::chrono::duration_cast<milliseconds>(*pace.passTime("s", START)).count());
+    CHECK_FALSE(pace.passTime("s", START + milliseconds{1'000}).has_value());
+}
+
+TEST(PassPace, aGroupWithoutEventsIsStalled)
+{
+    pace.onRequests("s", 3, START);
+    pace.onRequests("s", 4, START + milliseconds{100});
+    CHECK_FALSE(pace.stalled("s", START + milliseconds{600}));
+    CHECK(pace.stalled("s", START + milliseconds{900}));
+    pass(START + milliseconds{950}, milliseconds{1'200}, 1);
+    CHECK_FALSE(pace.stalled("s", START + milliseconds{1'000}));
+    CHECK(pace.stalled("s", START + milliseconds{1'700}));
+}
+
+TEST(PassPace, fewRequestsDoNotTellAStall)
+{
+    pace.onRequests("s", 2, START);
+    CHECK_FALSE(pace.stalled("s", START + milliseconds{2'000}));
+    CHECK_FALSE(pace.stalled("other", START));
+}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,8 @@
     bool readHead(Attempt &attempt);
     transport::asio::awaitable<AttemptEnd> finishAnswer(Attempt &attempt);
     transport::asio::awaitable<bool> relayAvailable(Attempt &attempt);
+    /// Tells how long the passes of the engines last.
+    void noteEvents(Instant now);
     void settle(Attempt &attempt, AttemptEnd end);
     bool mayTryAgain(AttemptEnd end) const;
 
@@ -102,6 +104,8 @@
     bool callerGone_ = false;
     transport::ConnectionPtr upstream_; ///< The connection that is in use, to be closed when the caller leaves.
     Duration firstAnswer_{0};
+    int eventsNoted_ = 0; ///< Of events_, so far.
+    Instant lastEventsAt_{0};
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "dispatch/engineadmission.h"
+#include "dispatch/passpace.h"
 #include "dispatch/retryshare.h"
 #include "fleet/fleetview.h"
 #include "fleet/nodesettings.h"
@@ -26,6 +27,7 @@
     dispatch::Dispatcher dispatcher;
     dispatch::EngineAdmission admission;
     dispatch::ReturningCallers returning;
+    dispatch::PassPace passPace;
     dispatch::RetryShare retries;
     UpstreamPool pool;
     transport::HttpCaller caller;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -171,13 +171,20 @@
     const Instant begin = framework::monotonicNow();
     const milliseconds stated = request_.facts.deadline.value_or(milliseconds{0});
     const bool returning = context_.returning.isReturning(match_.route->name, stated, begin);
+    const auto service = match_.config->services.find(service_);
+    const fleet::EngineProfile engine = service != match_.config->services.end() && service->second.engine ? *service->second.engine : fleet::EngineProfile{};
     while (true) {
         const Instant now = framework::monotonicNow();
         const dispatch::EngineLoad load = context_.dispatcher.engineLoad(service_);
         dispatch::AdmissionView view;
         view.inFlight = load.inFlight + context_.peers.inFlightOfOthers(service_, now);
         view.engines = load.usable;
-        view.groupDown = context_.peers.groupDown(service_, now);
+        view.slotsPerEngine = engine.slots;
+        view.timing = {engine.stepMs, engine.stepMsPerSequence};
+        view.passTime = context_.passPace.passTime(service_, now);
+        view.pause = match_.route->pauseObjective;
+        context_.passPace.onRequests(service_, load.inFlight, now);
+        view.groupDown = context_.peers.groupDown(service_, now) || context_.passPace.stalled(service_, now);
         view.returning = returning;
         view.waited = now - begin;
         view.left = deadline_ - now;
@@ -192,6 +199,7 @@
                                  request_.facts.requestId,
                                  {{"in_flight", std::to_string(view.inFlight)},
                                   {"engines", std::to_string(view.engines)},
+                                  {"pass_ms", std::to_string(view.passTime ? toMilliseconds(*view.passTime).count() : 0)},
                                   {"group_down", view.groupDown ? "yes" : "no"},
                                   {"returning", returning ? "yes" : "no"},
                                   {"waited_ms", std::to_string(toMilliseconds(view.waited).count())},
@@ -437,8 +445,12 @@
     if (ready.empty()) {
         co_return true;
     }
+    const Instant now = framework::monotonicNow();
     if (firstAnswer_.count() == 0) {
-        firstAnswer_ = framework::monotonicNow() - request_.receivedAt;
+        firstAnswer_ = now - request_.receivedAt;
+    }
+    if (attempt.streaming) {
+        noteEvents(now);
     }
     if (!relay_.begun()) {
         const std::string fields = platform::forwardedResponseFields(attempt.reader.fields(), true);
@@ -447,6 +459,15 @@
     co_return co_await relay_.sendPart(ready);
 }
 
+void Exchange::noteEvents(Instant now)
+{
+    // The gap before the first event is the wait for a place and the reading of the prompt: no pass.
+    const int passes = eventsNoted_ > 0 ? events_.events() - eventsNoted_ : 0;
+    context_.passPace.onEvents(service_, now - lastEventsAt_, passes, now);
+    eventsNoted_ = events_.events();
+    lastEventsAt_ = now;
+}
+
 asio::awaitable<AttemptEnd> Exchange::finishAnswer(Attempt &attempt)
 {
     const int status = attempt.reader.status();
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisymount::gateway
 {
@@ -30,25 +31,27 @@
 constexpr milliseconds ORDER_PATIENCE{400};
 /// Through an agent an answer takes a few milliseconds, and some orders get none.
 constexpr milliseconds AGENT_ORDER_PATIENCE{150};
-constexpr milliseconds REFRESH_PAUSE{700};
+/// Without agents each report is priced as a probe.
+constexpr milliseconds REMOTE_REFRESH_PAUSE{700};
+constexpr milliseconds REFRESH_PAUSE{250};
 /// While the group makes no passes its return is looked for this often.
 constexpr milliseconds DOWN_REFRESH_PAUSE{200};
 /// While ranks are armed they switch within a few passes.
 constexpr milliseconds ARMED_REFRESH_PAUSE{60};
 /// Passes that a change may take from its release until it is in force on all ranks.
-constexpr int PASSES_TO_SETTLE = 5;
-/// Through agents beside the engines reads are free; so many ranks are read a round, in turn.
+constexpr int PASSES_TO_SETTLE = 2;
+/// Through agents beside the engines reads are free; so many ranks are read a round.
 constexpr int SAMPLED_RANKS = 12;
-constexpr milliseconds SAMPLE_INTERVAL{200};
+constexpr milliseconds SAMPLE_INTERVAL{100};
 /// Without agents each read is priced and pauses the group for a moment.
 constexpr int REMOTE_SAMPLED_RANKS = 2;
 constexpr milliseconds REMOTE_SAMPLE_INTERVAL{1'000};
 constexpr int64_t FIRST_SAMPLES = 8;
 /// New samples after which a better map is looked for.
 constexpr int64_t SAMPLES_PER_PLAN = 8;
-constexpr milliseconds PLAN_INTERVAL{700};
+constexpr milliseconds PLAN_INTERVAL{300};
 /// Skew of the newest samples over the planned one above which other experts are in demand than the map was made for.
-constexpr double SHIFT_RATIO = 1.3;
+constexpr double SHIFT_RATIO = 1.15;
 /// An agent that did not answer is left out for this long.
 constexpr milliseconds AGENT_PAUSE{5'000};
 /// After an order without an answer, changes are made with more time for a while.
@@ -63,13 +66,22 @@
 constexpr PlanningEffort CALM_EFFORT{0.3, 0.03};
 /// Near the pause that a stream may have, evenness is worth most.
 constexpr PlanningEffort BUSY_EFFORT{0.1, 0.012};
-/// Part of the permitted pause that a usual pass may take in calm times: single passes take twice as long.
-constexpr double CALM_PASS_PART = 0.46;
+/// Parts of the permitted pause that a mean pass may take for either effort: single passes take twice as long. Linear between them.
+constexpr double CALM_PASS_PART = 0.44;
+constexpr double BUSY_PASS_PART = 0.62;
+
+PlanningEffort effortAt(double passPart)
+{
+    const double busy = std::clamp((passPart - CALM_PASS_PART) / (BUSY_PASS_PART - CALM_PASS_PART), 0.0, 1.0);
+    return {std::lerp(CALM_EFFORT.leastGain, BUSY_EFFORT.leastGain, busy), std::lerp(CALM_EFFORT.copyCost, BUSY_EFFORT.copyCost, busy)};
+}
 /// Of the newest measurement in the drifting pass time.
 constexpr double PASS_TIME_WEIGHT = 0.2;
 /// The search works in slices, so that callers' bytes do not wait for it.
 constexpr int PROPOSALS_PER_SLICE = 60;
 constexpr int PROPOSALS_PER_SET = 4'000;
+/// Experts of one set that a change copies to one rank: the change is in force only when the last rank has them.
+constexpr int MOST_COPIES = 2;
 
 template<typename AnyDuration>
 milliseconds toMilliseconds(AnyDuration duration)
@@ -117,7 +129,7 @@
             const auto known = [wanted = name](const auto &entry) { return entry.second->service == wanted; };
             const auto stale = [wanted = name](const auto &entry) { return entry.second->service == wanted && entry.second->stale; };
             const bool readAgain = std::ranges::none_of(groups_, known) || std::ranges::any_of(groups_, stale);
-            const Instant due = refreshedAt_[name] + REFRESH_PAUSE;
+            const Instant due = refreshedAt_[name] + refreshPause();
             if (readAgain && framework::monotonicNow() >= due) {
                 co_await refresh(name);
             }
@@ -243,7 +255,7 @@
     group.down = !whole;
     if (!whole) {
         group.stale = true;
-        refreshedAt_[group.service] = now - REFRESH_PAUSE + DOWN_REFRESH_PAUSE;
+        refreshedAt_[group.service] = now - refreshPause() + DOWN_REFRESH_PAUSE;
         return;
     }
     const bool anyArmed = std::ranges::any_of(reports, [](const auto &report) { return report.armedVersion.has_value(); });
@@ -262,7 +274,7 @@
     if (!sameMap || (anyArmed && !anyHeld)) {
         // Armed and not held: the ranks are about to switch by themselves.
         group.stale = true;
-        refreshedAt_[group.service] = now - REFRESH_PAUSE + ARMED_REFRESH_PAUSE;
+        refreshedAt_[group.service] = now - refreshPause() + ARMED_REFRESH_PAUSE;
         return;
     }
     group.mapUnknown = false;
@@ -310,6 +322,25 @@
     co_return reply;
 }
 
+milliseconds MapController::permittedPause(const std::string &service) const
+{
+    milliseconds pause = context_.settings.bounds.passPause;
+    for (const fleet::Route &route : context_.view.config()->routes) {
+        const bool uses = std::ranges::any_of(route.services, [&](const auto &entry) { return entry.service == service; });
+        if (uses && route.pauseObjective.count() > 0) {
+            pause = std::min(pause, route.pauseObjective);
+        }
+    }
+    return pause;
+}
+
+milliseconds MapController::refreshPause() const
+{
+    const Instant now = framework::monotonicNow();
+    const bool silent = std::ranges::any_of(agentsDownUntil_, [now](const auto &entry) { return now < entry.second; });
+    return silent ? REMOTE_REFRESH_PAUSE : REFRESH_PAUSE;
+}
+
 bool MapController::agentsAnswer(const Group &group, Instant now) const
 {
     return std::ranges::all_of(group.ranks, [&](const std::string &upstream) {
@@ -331,7 +362,7 @@
             group->change->abandon("a rank left the group");
             finishChange(*group, now);
         }
-        group->stale = now - group->lastRefresh > REFRESH_PAUSE;
+        group->stale = now - group->lastRefresh > DOWN_REFRESH_PAUSE;
         return;
     }
     if (group->change) {
@@ -391,8 +422,11 @@
     }
     const int size = static_cast<int>(group->ranks.size());
     const bool agents = agentsAnswer(*group, now);
-    group->nextSample = now + (agents ? SAMPLE_INTERVAL : REMOTE_SAMPLE_INTERVAL);
+    const milliseconds interval = agents ? SAMPLE_INTERVAL : REMOTE_SAMPLE_INTERVAL;
+    group->nextSample = now + interval;
     const int read = std::min(size, agents ? SAMPLED_RANKS : REMOTE_SAMPLED_RANKS);
+    // Between two reads a rank makes several passes, so a few ranks' reads hold as much as one pass of all ranks.
+    group->samples.setReadsPerSample(1);
     for (int i = 0; i < read; ++i) {
         asio::co_spawn(context_.executor, readCounts(group, i), asio::detached);
     }
@@ -466,8 +500,7 @@
     const expertmap::GroupMap current = group->map;
     const std::deque<expertmap::LoadSample> taken = group->samples.samples();
     const int ranks = current.empty() ? 0 : static_cast<int>(current.front().size());
-    const bool calm = group->passTime < CALM_PASS_PART * context_.settings.bounds.passPause;
-    const PlanningEffort effort = calm ? CALM_EFFORT : BUSY_EFFORT;
+    const PlanningEffort effort = effortAt(group->passTime / permittedPause(group->service));
     expertmap::GroupMap next;
     double before = 0.0;
     double after = 0.0;
@@ -478,7 +511,7 @@
         for (const expertmap::LoadSample &sample : taken) {
             samples.push_back(sample[static_cast<size_t>(set)]);
         }
-        const expertmap::PlacementBounds bounds{ranks, layout.experts, layout.placements, layout.spares, effort.copyCost};
+        const expertmap::PlacementBounds bounds{ranks, layout.experts, layout.placements, std::min(layout.spares, MOST_COPIES), effort.copyCost};
         expertmap::SamplePlacement search(bounds, current[static_cast<size_t>(set)], std::move(samples), context_.random());
         for (int done = 0; done < PROPOSALS_PER_SET && search.improve(PROPOSALS_PER_SLICE); done += PROPOSALS_PER_SLICE) {
             co_await transport::sleepFor(milliseconds{1});
@@ -504,7 +537,7 @@
                           {"copies", std::to_string(copies)},
                           {"samples", std::to_string(group->samples.samples().size())},
                           {"pass_ms", std::to_string(toMilliseconds(group->passTime).count())},
-                          {"calm", calm ? "yes" : "no"}}});
+                          {"copy_cost", std::to_string(effort.copyCost)}}});
     if (!worthIt) {
         co_return;
     }
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -46,7 +46,6 @@
         Instant nextSample{0};
         Instant nextPlan{0};
         Instant settledAt{0}; ///< Before this the last change may not be in force on all ranks.
-        int nextRank = 0;
         bool planning = false;
         bool leftHeld = false; ///< An earlier change left a pass held.
         bool down = false; ///< It has lost a rank.
@@ -73,6 +72,10 @@
     bool changing() const;
     bool ranksUnchanged(const Group &group) const;
     bool agentsAnswer(const Group &group, Instant now) const;
+    /// Shortest pause objective of the routes to @p service.
+    milliseconds permittedPause(const std::string &service) const;
+    /// Least time between two readings of the reports.
+    milliseconds refreshPause() const;
     /// Calls a rank through the agent on its machine, or itself while that does not answer.
     transport::asio::awaitable<transport::HttpReply> callRank(std::string upstream, platform::HttpCall call, milliseconds patience);
 
