--- a/src/expertmap/internal/loadsamples.cpp
+++ b/src/expertmap/internal/loadsamples.cpp
@@ -3,7 +3,6 @@
 #include "expertmap/loadsamples.h"
 
 #include <algorithm>
-#include <functional>
 #include <numeric>
 
 namespace daisymount::expertmap
@@ -35,57 +34,28 @@
 LoadSamples::LoadSamples(const Options &options) : options_(options)
 { }
 
-void LoadSamples::setReadsPerSample(int reads)
-{
-    readsPerSample_ = std::max(1, reads);
-}
-
 bool LoadSamples::onCounts(int rank, const ExpertCounts &counts)
 {
     const auto known = last_.find(rank);
     const bool usable = known != last_.end() && known->second.epoch == counts.epoch && known->second.chosen.size() == counts.chosen.size();
     const ExpertCounts before = usable ? known->second : ExpertCounts{};
-    last_[rank] = counts;
-    std::vector<std::vector<int64_t>> grown;
+    LoadSample sample;
     for (size_t set = 0; set < counts.chosen.size(); ++set) {
-        grown.push_back(difference(usable ? before.chosen[set] : std::vector<int64_t>{}, counts.chosen[set]));
-        if (grown.back().empty()) {
+        const std::vector<int64_t> grown = difference(usable ? before.chosen[set] : std::vector<int64_t>{}, counts.chosen[set]);
+        const int64_t total = std::accumulate(grown.begin(), grown.end(), int64_t{0});
+        if (grown.empty()) {
+            last_[rank] = counts;
             return false;
         }
-    }
-    gather(grown);
-    return closeSample();
-}
-
-void LoadSamples::gather(const std::vector<std::vector<int64_t>> &grown)
-{
-    const bool sameShape = open_.size() == grown.size() && (grown.empty() || open_.front().size() == grown.front().size());
-    if (!sameShape) {
-        open_ = grown;
-        openReads_ = 1;
-        return;
-    }
-    for (size_t set = 0; set < grown.size(); ++set) {
-        std::ranges::transform(open_[set], grown[set], open_[set].begin(), std::plus{});
-    }
-    ++openReads_;
-}
-
-bool LoadSamples::closeSample()
-{
-    if (openReads_ < readsPerSample_ || open_.empty()) {
-        return false;
-    }
-    LoadSample sample;
-    for (const std::vector<int64_t> &choices : open_) {
-        const int64_t total = std::accumulate(choices.begin(), choices.end(), int64_t{0});
         if (total < options_.leastChoices) {
             return false;
         }
-        sample.push_back(normalised(choices, total));
+        sample.push_back(normalised(grown, total));
+    }
+    last_[rank] = counts;
+    if (sample.empty()) {
+        return false;
     }
-    open_.clear();
-    openReads_ = 0;
     samples_.push_back(std::move(sample));
     ++taken_;
     if (samples_.size() > options_.capacity) {
@@ -97,8 +67,6 @@
 void LoadSamples::onNewEpoch()
 {
     last_.clear();
-    open_.clear();
-    openReads_ = 0;
 }
 
 const std::deque<LoadSample> &LoadSamples::samples() const
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -31,6 +31,10 @@
 /// A leaving gateway serves on while callers may still hold its address.
 constexpr int TTL_MULTIPLE = 3;
 constexpr milliseconds DRAIN_POLL{50};
+/// Part of the time in which a leaving upstream may still get requests, up to which another member's reading is relied on; the rest is
+/// for the pause until the next reading and for the way of the answer.
+constexpr int READER_FRESH_NUMERATOR = 9;
+constexpr int READER_FRESH_DENOMINATOR = 20;
 
 int64_t unixMillis()
 {
@@ -65,7 +69,7 @@
     , retries({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow})
     , pool(reactor)
     , caller(reactor)
-    , peers(std::move(self), {.seed = seed})
+    , peers(std::move(self), {.readerFresh = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR, .seed = seed})
     , log({settings.name, settings.zone})
     , random(static_cast<unsigned>(seed))
 { }
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -20,12 +20,16 @@
 
 /// A call that takes longer is repeated: the store answers in milliseconds, when slow in some hundred.
 constexpr milliseconds CALL_PATIENCE{1'000};
-/// A watch waits this long; short enough that a connection gone silent is noticed well within the bound for configurations.
-constexpr milliseconds WATCH_WAIT{1'500};
-constexpr milliseconds UPSTREAM_POLL{500};
+/// A watch waits so much less than the contact bound that a connection gone silent is noticed within it.
+constexpr milliseconds WATCH_MARGIN{1'000};
+constexpr milliseconds LEAST_WATCH_WAIT{500};
+/// Readings of the upstreams within the time that a leaving one may still get requests.
+constexpr int READINGS_PER_DRAIN = 4;
 constexpr milliseconds RETRY_PAUSE{200};
-/// Without an answer for this long the store counts as lost to this machine.
-constexpr milliseconds LOST_AFTER{2'600};
+/// Without an answer for this much longer than a watch waits, the store counts as lost to this machine.
+constexpr milliseconds LOST_MARGIN{1'100};
+/// Upstreams that were read longer ago are asked for at peers.
+constexpr milliseconds UPSTREAMS_STALE{900};
 constexpr milliseconds PEER_POLL{250};
 constexpr milliseconds PEER_PATIENCE{400};
 constexpr milliseconds REGISTRATION_TTL{9'000};
@@ -51,6 +55,11 @@
     return reachable_;
 }
 
+milliseconds StoreSync::watchWait() const
+{
+    return std::max(LEAST_WATCH_WAIT, context_.settings.bounds.contact - WATCH_MARGIN);
+}
+
 asio::awaitable<transport::HttpReply> StoreSync::call(std::string_view name, platform::HttpCall call, milliseconds patience)
 {
     const bool watch = name == "watch";
@@ -66,7 +75,7 @@
 {
     const Instant now = framework::monotonicNow();
     if (answered) {
-        const bool regained = lastAnswer_ != Instant{0} && now - lastAnswer_ > LOST_AFTER;
+        const bool regained = lastAnswer_ != Instant{0} && now - lastAnswer_ > watchWait() + LOST_MARGIN;
         lastAnswer_ = now;
         if (!reachable_) {
             reachable_ = true;
@@ -75,7 +84,7 @@
         if (regained) {
             context_.view.onStoreRegained(now);
         }
-    } else if (reachable_ && now - lastAnswer_ > LOST_AFTER) {
+    } else if (reachable_ && now - lastAnswer_ > watchWait() + LOST_MARGIN) {
         reachable_ = false;
         context_.log.report({"store", "store_lost", ResultCode::StoreDown, "", {{"last_answer_ms", std::to_string((now - lastAnswer_).count() / 1000)}}});
     }
@@ -140,7 +149,7 @@
             continue;
         }
         const auto reply
-            = co_await call("watch", platform::watchCall(platform::OPERATOR_PREFIX, operatorRevision_, WATCH_WAIT), WATCH_WAIT + CALL_PATIENCE / 2);
+            = co_await call("watch", platform::watchCall(platform::OPERATOR_PREFIX, operatorRevision_, watchWait()), watchWait() + CALL_PATIENCE / 2);
         const framework::Ret watched = framework::attempt([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
             for (const platform::StoreChange &change : changes.changes) {
@@ -216,7 +225,10 @@
         if (!read) {
             read = co_await readUpstreams();
         }
-        co_await transport::sleepFor(read ? UPSTREAM_POLL : RETRY_PAUSE);
+        if (read) {
+            upstreamsTakenAt_ = framework::monotonicNow();
+        }
+        co_await transport::sleepFor(read ? context_.settings.bounds.drain / READINGS_PER_DRAIN : RETRY_PAUSE);
         context_.view.expire(framework::monotonicNow());
     }
 }
@@ -300,14 +312,18 @@
     while (true) {
         co_await transport::sleepFor(PEER_POLL);
         const Instant now = framework::monotonicNow();
-        if (now - lastAnswer_ < CALL_PATIENCE && context_.view.hasConfig()) {
-            continue;
+        const peers::KnownRevisions &known = context_.peers.self().revisions;
+        // A watch that seems to work may have gone silent: a peer that knows a newer configuration tells.
+        std::optional<peers::Peer> peer = context_.peers.aheadInConfiguration(known, now);
+        std::string_view page = peers::FLEET_PAGE;
+        if (!peer && now - upstreamsTakenAt_ > UPSTREAMS_STALE) {
+            peer = context_.peers.bestInformed(known, now);
+            page = peers::UPSTREAMS_PAGE;
         }
-        const std::optional<peers::Peer> peer = context_.peers.bestInformed(context_.peers.self().revisions, now);
         if (!peer) {
             continue;
         }
-        co_await takeFrom(*peer, peers::FLEET_PAGE);
+        co_await takeFrom(*peer, page);
     }
 }
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -27,6 +27,8 @@
     bool storeReachable() const;
 
 private:
+    /// How long one watch waits for a change.
+    milliseconds watchWait() const;
     transport::asio::awaitable<void> watchOperator();
     transport::asio::awaitable<bool> readOperator();
     transport::asio::awaitable<void> pollUpstreams();
@@ -52,6 +54,7 @@
     int64_t operatorRevision_ = 0; ///< Where the watch goes on, 0: the range has to be read.
     int64_t lease_ = 0; ///< 0: not registered.
     Instant lastAnswer_{0};
+    Instant upstreamsTakenAt_{0}; ///< From the store, or from the member that reads it for this zone.
     bool reachable_ = false;
 };
 
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -3,6 +3,7 @@
 #include "peers/peertable.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace daisymount::peers
 {
@@ -170,4 +171,10 @@
     return best == nullptr ? std::nullopt : std::optional<Peer>(*best);
 }
 
+std::optional<Peer> PeerTable::aheadInConfiguration(KnownRevisions known, Instant now) const
+{
+    known.upstreams = std::numeric_limits<int64_t>::max();
+    return bestInformed(known, now);
+}
+
 } // namespace daisymount::peers
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -57,6 +57,8 @@
     int possiblyAlive(Instant now) const;
     /// The live member that knows most of the upstreams, zones or configuration beyond @p known.
     std::optional<Peer> bestInformed(const KnownRevisions &known, Instant now) const;
+    /// A live member that knows a newer configuration, or newer zones out of service, than @p known.
+    std::optional<Peer> aheadInConfiguration(KnownRevisions known, Instant now) const;
 
 private:
     struct Member
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -105,6 +105,16 @@
     CHECK_FALSE(table.bestInformed({1, 1, 1}, START + std::chrono::seconds{5}).has_value());
 }
 
+TEST(PeerTable, whoKnowsANewerConfigurationIsFoundWhateverItsUpstreams)
+{
+    Peer ahead = peer("2");
+    ahead.revisions = {7, 1, 9};
+    table.onHeartbeat({ahead, {}}, START);
+    STRCMP_EQUAL("2", table.aheadInConfiguration({6, 1, 50}, START)->name.c_str());
+    CHECK_FALSE(table.aheadInConfiguration({7, 1, 1}, START).has_value());
+    CHECK_FALSE(table.aheadInConfiguration({6, 1, 1}, START + std::chrono::seconds{5}).has_value());
+}
+
 TEST(PeerTable, onlyTheMapControllerTellsOfGroupsThatAreDown)
 {
     Peer rumour = peer("2");
@@ -162,6 +172,33 @@
     LONGS_EQUAL(40, decoded.others.at(0).age.count());
 }
 
+TEST(PeerCodec, aHeartbeatTakesFewBytes)
+{
+    // Load: 42 gateways send three or four a second over links between zones that are paid for by the byte.
+    Heartbeat heartbeat;
+    for (int i = 0; i < 11; ++i) {
+        Peer member = peer("front-zone-" + std::to_string(i), 1'772'047'785'000 + i);
+        member.ip = "10.1.0." + std::to_string(100 + i);
+        member.callerAddress = member.ip + ":8620";
+        member.zone = "a-zone-with-a-name";
+        member.inFlight = {{"jefi50b", 140}};
+        member.revisions = {1'000, 900, 20'000};
+        i == 0 ? static_cast<void>(heartbeat.sender = member) : heartbeat.others.push_back({member, milliseconds{240}});
+    }
+    CHECK(encodeHeartbeat(heartbeat).size() < 700);
+}
+
+TEST(PeerCodec, otherBytesAreNoHeartbeat)
+{
+    for (const std::string_view bytes : {"", "DH", "DH1", "{}", "DH1\x01"}) {
+        const auto ret = daisymount::framework::attempt([&]() -> daisymount::framework::Result<void> {
+            BOOST_LEAF_CHECK(decodeHeartbeat(bytes));
+            return {};
+        });
+        CHECK_FALSE(static_cast<bool>(ret));
+    }
+}
+
 TEST(PeerCodec, mutatedMessagesAreRefusedOrReadWithoutHarm)
 {
     std::mt19937_64 random(5);
