Maps: ranks of the own zone are sampled first, copies are priced by their size

Cause: reads of counts cross zones and are paid for; a copied expert of 110 MB was priced like one of 780 MB, so that the larger deployments kept skews of 2.9.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -25,7 +25,7 @@
 constexpr double ANSWER_WEIGHT = 0.2; ///< Of one answer in the drifting average.
 constexpr double SLOW_RATIO = 2.0; ///< Above this multiple of the service's mean an upstream counts as slow.
 /// Another zone counts as this much more load: bytes between zones cost money, queueing costs more.
-constexpr double OTHER_ZONE_COST = 0.04;
+constexpr double OTHER_ZONE_COST = 0.1;
 /// Random part of the cost; keeps entries with the same view from choosing the same upstream.
 constexpr double JITTER = 0.06;
 /// Refused callers return spread over this span after the minimum.
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -40,9 +40,13 @@
 constexpr milliseconds ARMED_REFRESH_PAUSE{60};
 /// Passes that a change may take from its release until it is in force on all ranks.
 constexpr int PASSES_TO_SETTLE = 2;
-/// Through agents beside the engines reads are free; so many ranks are read a round.
+/// Through agents beside the engines reads are free; so many ranks are read a round. Those of the own zone come first, since the bytes
+/// of the others are paid for.
 constexpr int SAMPLED_RANKS = 12;
+constexpr int SAMPLED_RANKS_NEAR = 24;
+/// Between two reads of one rank.
 constexpr milliseconds SAMPLE_INTERVAL{100};
+constexpr milliseconds SAMPLE_INTERVAL_NEAR{200};
 /// Without agents each read is priced and pauses the group for a moment.
 constexpr int REMOTE_SAMPLED_RANKS = 2;
 constexpr milliseconds REMOTE_SAMPLE_INTERVAL{1'000};
@@ -60,12 +64,13 @@
 struct PlanningEffort
 {
     double leastGain; ///< Predicted skew that the change has to save.
-    double copyCost; ///< Skew that each copied expert has to save.
+    double costPerGigabyte; ///< Skew that each copied gigabyte has to save.
 };
 /// While passes are short, uneven ranks delay nobody.
-constexpr PlanningEffort CALM_EFFORT{0.3, 0.03};
+constexpr PlanningEffort CALM_EFFORT{0.3, 0.038};
 /// Near the pause that a stream may have, evenness is worth most.
-constexpr PlanningEffort BUSY_EFFORT{0.1, 0.012};
+constexpr PlanningEffort BUSY_EFFORT{0.1, 0.0154};
+constexpr double MEGABYTES_PER_GIGABYTE = 1'000.0;
 /// Parts of the permitted pause that a mean pass may take for either effort: single passes take twice as long. Linear between them.
 constexpr double CALM_PASS_PART = 0.44;
 constexpr double BUSY_PASS_PART = 0.62;
@@ -73,7 +78,7 @@
 PlanningEffort effortAt(double passPart)
 {
     const double busy = std::clamp((passPart - CALM_PASS_PART) / (BUSY_PASS_PART - CALM_PASS_PART), 0.0, 1.0);
-    return {std::lerp(CALM_EFFORT.leastGain, BUSY_EFFORT.leastGain, busy), std::lerp(CALM_EFFORT.copyCost, BUSY_EFFORT.copyCost, busy)};
+    return {std::lerp(CALM_EFFORT.leastGain, BUSY_EFFORT.leastGain, busy), std::lerp(CALM_EFFORT.costPerGigabyte, BUSY_EFFORT.costPerGigabyte, busy)};
 }
 /// Of the newest measurement in the drifting pass time.
 constexpr double PASS_TIME_WEIGHT = 0.2;
@@ -420,15 +425,25 @@
     if (now < group->nextSample) {
         return;
     }
-    const int size = static_cast<int>(group->ranks.size());
     const bool agents = agentsAnswer(*group, now);
-    const milliseconds interval = agents ? SAMPLE_INTERVAL : REMOTE_SAMPLE_INTERVAL;
-    group->nextSample = now + interval;
-    const int read = std::min(size, agents ? SAMPLED_RANKS : REMOTE_SAMPLED_RANKS);
-    // Between two reads a rank makes several passes, so a few ranks' reads hold as much as one pass of all ranks.
-    group->samples.setReadsPerSample(1);
-    for (int i = 0; i < read; ++i) {
-        asio::co_spawn(context_.executor, readCounts(group, i), asio::detached);
+    std::vector<int> near;
+    std::vector<int> all;
+    for (size_t rank = 0; rank < group->ranks.size(); ++rank) {
+        const auto known = context_.view.upstreams().find(group->ranks[rank]);
+        const bool here = known != context_.view.upstreams().end() && known->second.upstream.zone == context_.settings.zone;
+        (here ? near : all).push_back(static_cast<int>(rank));
+    }
+    all.insert(all.begin(), near.begin(), near.end());
+    const bool nearIsEnough = agents && near.size() >= SAMPLED_RANKS;
+    group->nextSample = now + (nearIsEnough ? SAMPLE_INTERVAL_NEAR : agents ? SAMPLE_INTERVAL : REMOTE_SAMPLE_INTERVAL);
+    std::vector<int> &read = nearIsEnough ? near : all;
+    read.resize(std::min<size_t>(read.size(), nearIsEnough ? SAMPLED_RANKS_NEAR : agents ? SAMPLED_RANKS : REMOTE_SAMPLED_RANKS));
+    if (!read.empty() && group->timedRank != read.front()) {
+        group->timedRank = read.front();
+        group->passSeen = 0;
+    }
+    for (const int rank : read) {
+        asio::co_spawn(context_.executor, readCounts(group, rank), asio::detached);
     }
 }
 
@@ -446,7 +461,7 @@
             return {};
         }
         const Instant now = framework::monotonicNow();
-        if (rank == 0) {
+        if (rank == group->timedRank) {
             if (group->passSeen > 0 && counts.lastPass > group->passSeen) {
                 const Duration measured = (now - group->passSeenAt) / (counts.lastPass - group->passSeen);
                 group->passTime += PASS_TIME_WEIGHT * (std::clamp<Duration>(measured, SHORTEST_PASS, LONGEST_PASS) - group->passTime);
@@ -501,6 +516,7 @@
     const std::deque<expertmap::LoadSample> taken = group->samples.samples();
     const int ranks = current.empty() ? 0 : static_cast<int>(current.front().size());
     const PlanningEffort effort = effortAt(group->passTime / permittedPause(group->service));
+    const double copyCost = effort.costPerGigabyte * layout.megabytesPerExpert / MEGABYTES_PER_GIGABYTE;
     expertmap::GroupMap next;
     double before = 0.0;
     double after = 0.0;
@@ -511,7 +527,7 @@
         for (const expertmap::LoadSample &sample : taken) {
             samples.push_back(sample[static_cast<size_t>(set)]);
         }
-        const expertmap::PlacementBounds bounds{ranks, layout.experts, layout.placements, std::min(layout.spares, MOST_COPIES), effort.copyCost};
+        const expertmap::PlacementBounds bounds{ranks, layout.experts, layout.placements, std::min(layout.spares, MOST_COPIES), copyCost};
         expertmap::SamplePlacement search(bounds, current[static_cast<size_t>(set)], std::move(samples), context_.random());
         for (int done = 0; done < PROPOSALS_PER_SET && search.improve(PROPOSALS_PER_SLICE); done += PROPOSALS_PER_SLICE) {
             co_await transport::sleepFor(milliseconds{1});
@@ -537,7 +553,7 @@
                           {"copies", std::to_string(copies)},
                           {"samples", std::to_string(group->samples.samples().size())},
                           {"pass_ms", std::to_string(toMilliseconds(group->passTime).count())},
-                          {"copy_cost", std::to_string(effort.copyCost)}}});
+                          {"copy_cost", std::to_string(copyCost)}}});
     if (!worthIt) {
         co_return;
     }
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -53,6 +53,7 @@
         Instant lastRefresh{0};
         Instant passSeenAt{0};
         int64_t passSeen = 0;
+        int timedRank = 0; ///< Whose pass numbers tell the pass time.
         std::chrono::duration<double, std::milli> passTime{60}; ///< Drifting average.
     };
 
