--- a/src/expertmap/internal/sampleplacement.cpp
+++ b/src/expertmap/internal/sampleplacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace daisymount::expertmap
 {
@@ -31,29 +32,30 @@
 
 SamplePlacement::SamplePlacement(const PlacementBounds &bounds, std::span<const RankExperts> current, std::vector<SetSample> samples, uint64_t seed)
     : bounds_(bounds)
-    , samples_(std::move(samples))
+    , samples_(samples.size())
+    , weights_(static_cast<size_t>(bounds.experts) * samples_)
+    , loads_(static_cast<size_t>(bounds.ranks) * samples_)
+    , expertsOf_(static_cast<size_t>(bounds.ranks))
+    , holdersOf_(static_cast<size_t>(bounds.experts))
     , holds_(static_cast<size_t>(bounds.ranks) * static_cast<size_t>(bounds.experts))
-    , replicas_(static_cast<size_t>(bounds.experts))
-    , held_(static_cast<size_t>(bounds.ranks))
     , added_(static_cast<size_t>(bounds.ranks))
-    , loads_(samples_.size() * static_cast<size_t>(bounds.ranks))
+    , heaviest_(samples_)
     , random_(static_cast<unsigned>(seed))
 {
     for (int rank = 0; rank < bounds_.ranks; ++rank) {
         for (const int expert : current[static_cast<size_t>(rank)]) {
             holds_[placeOf(rank, expert)] = 1;
-            ++replicas_[static_cast<size_t>(expert)];
-            ++held_[static_cast<size_t>(rank)];
+            RankExperts &experts = expertsOf_[static_cast<size_t>(rank)];
+            experts.insert(std::ranges::lower_bound(experts, expert), expert);
+            holdersOf_[static_cast<size_t>(expert)].push_back(rank);
         }
     }
     heldAtStart_ = holds_;
-    for (size_t sample = 0; sample < samples_.size(); ++sample) {
-        for (int rank = 0; rank < bounds_.ranks; ++rank) {
-            for (const int expert : current[static_cast<size_t>(rank)]) {
-                load(sample, rank) += samples_[sample][static_cast<size_t>(expert)] * static_cast<float>(bounds_.ranks)
-                    / static_cast<float>(replicas_[static_cast<size_t>(expert)]);
-            }
+    for (int expert = 0; expert < bounds_.experts; ++expert) {
+        for (size_t sample = 0; sample < samples_; ++sample) {
+            weights_[static_cast<size_t>(expert) * samples_ + sample] = samples[sample][static_cast<size_t>(expert)] * static_cast<float>(bounds_.ranks);
         }
+        spread(expert, 1.0F);
     }
     cost_ = cost();
     startSkew_ = skew();
@@ -61,7 +63,7 @@
 
 bool SamplePlacement::improve(int proposals)
 {
-    if (samples_.empty()) {
+    if (samples_ == 0) {
         return false;
     }
     for (int i = 0; i < proposals && withoutGain_ < SETTLED_AFTER; ++i) {
@@ -72,7 +74,7 @@
 
 bool SamplePlacement::propose()
 {
-    const size_t sample = random_() % samples_.size();
+    const size_t sample = random_() % samples_;
     const int from = heaviestRank(sample);
     const int expert = pickHeavyExpert(sample, from);
     const int to = expert < 0 ? -1 : pickLightRank(sample, expert);
@@ -80,7 +82,7 @@
         return false;
     }
     const Change copy{expert, to, true};
-    if (held_[static_cast<size_t>(to)] < bounds_.placements && tryChanges(std::array{copy})) {
+    if (static_cast<int>(expertsOf_[static_cast<size_t>(to)].size()) < bounds_.placements && tryChanges(std::array{copy})) {
         return true;
     }
     const int redundant = pickRedundantExpert(sample, to, expert);
@@ -96,62 +98,78 @@
 
 bool SamplePlacement::tryChanges(std::span<const Change> changes)
 {
-    size_t applied = 0;
-    while (applied < changes.size()) {
-        apply(changes[applied]);
-        ++applied;
-    }
+    const auto inverse = [](Change change) {
+        change.add = !change.add;
+        return change;
+    };
+    const auto first
+        = [&](const Change &change) { return std::ranges::find(changes, change.expert, &Change::expert) == changes.begin() + (&change - changes.data()); };
+    const auto spreadAll = [&](float sign) {
+        for (const Change &change : changes) {
+            if (first(change)) {
+                spread(change.expert, sign);
+            }
+        }
+    };
+    const auto listAll = [&] { std::ranges::for_each(changes, [&](const Change &change) { list(change); }); };
+    const auto unlistAll = [&] { std::for_each(changes.rbegin(), changes.rend(), [&](const Change &change) { list(inverse(change)); }); };
+
+    spreadAll(-1.0F);
+    listAll();
     const bool valid = std::ranges::all_of(changes, [&](const Change &change) { return allowed(change); });
-    const double next = valid ? cost() : cost_;
-    if (valid && next < cost_ - LEAST_GAIN) {
-        cost_ = next;
-        return true;
-    }
-    while (applied > 0) {
-        Change inverse = changes[--applied];
-        inverse.add = !inverse.add;
-        apply(inverse);
+    if (valid) {
+        spreadAll(1.0F);
+        const double next = cost();
+        if (next < cost_ - LEAST_GAIN) {
+            cost_ = next;
+            return true;
+        }
+        spreadAll(-1.0F);
     }
+    unlistAll();
+    spreadAll(1.0F);
     return false;
 }
 
 bool SamplePlacement::allowed(const Change &change) const
 {
     const auto rank = static_cast<size_t>(change.rank);
-    return held_[rank] <= bounds_.placements && added_[rank] <= bounds_.spares && replicas_[static_cast<size_t>(change.expert)] >= 1;
+    return static_cast<int>(expertsOf_[rank].size()) <= bounds_.placements && added_[rank] <= bounds_.spares
+        && !holdersOf_[static_cast<size_t>(change.expert)].empty();
 }
 
-void SamplePlacement::apply(const Change &change)
+void SamplePlacement::list(const Change &change)
 {
-    const auto expert = static_cast<size_t>(change.expert);
+    RankExperts &experts = expertsOf_[static_cast<size_t>(change.rank)];
+    std::vector<int> &holders = holdersOf_[static_cast<size_t>(change.expert)];
     const size_t place = placeOf(change.rank, change.expert);
-    const int before = replicas_[expert];
-    const int after = change.add ? before + 1 : before - 1;
-    const float scale = static_cast<float>(bounds_.ranks);
-    const float oldShare = before > 0 ? scale / static_cast<float>(before) : 0.0F;
-    const float newShare = after > 0 ? scale / static_cast<float>(after) : 0.0F;
-    if (!change.add) {
-        holds_[place] = 0;
-    }
-    for (int rank = 0; rank < bounds_.ranks; ++rank) {
-        if (!holds(rank, change.expert)) {
-            continue;
-        }
-        for (size_t sample = 0; sample < samples_.size(); ++sample) {
-            load(sample, rank) += samples_[sample][expert] * (newShare - oldShare);
-        }
-    }
-    for (size_t sample = 0; sample < samples_.size(); ++sample) {
-        load(sample, change.rank) += samples_[sample][expert] * (change.add ? newShare : -oldShare);
-    }
     if (change.add) {
-        holds_[place] = 1;
+        experts.insert(std::ranges::lower_bound(experts, change.expert), change.expert);
+        holders.push_back(change.rank);
+    } else {
+        std::erase(experts, change.expert);
+        std::erase(holders, change.rank);
     }
-    replicas_[expert] = after;
-    held_[static_cast<size_t>(change.rank)] += after - before;
+    holds_[place] = change.add ? 1 : 0;
     if (heldAtStart_[place] == 0) {
-        added_[static_cast<size_t>(change.rank)] += after - before;
-        copies_ += after - before;
+        added_[static_cast<size_t>(change.rank)] += change.add ? 1 : -1;
+        copies_ += change.add ? 1 : -1;
+    }
+}
+
+void SamplePlacement::spread(int expert, float sign)
+{
+    const std::vector<int> &holders = holdersOf_[static_cast<size_t>(expert)];
+    if (holders.empty()) {
+        return;
+    }
+    const float part = sign / static_cast<float>(holders.size());
+    const float *weights = &weights_[static_cast<size_t>(expert) * samples_];
+    for (const int rank : holders) {
+        float *loads = &loads_[static_cast<size_t>(rank) * samples_];
+        for (size_t sample = 0; sample < samples_; ++sample) {
+            loads[sample] += weights[sample] * part;
+        }
     }
 }
 
@@ -162,15 +180,17 @@
 
 double SamplePlacement::skew() const
 {
-    if (samples_.empty()) {
+    if (samples_ == 0) {
         return 1.0;
     }
-    double sum = 0.0;
-    for (size_t sample = 0; sample < samples_.size(); ++sample) {
-        const auto first = loads_.begin() + static_cast<std::ptrdiff_t>(sample * static_cast<size_t>(bounds_.ranks));
-        sum += *std::max_element(first, first + bounds_.ranks);
+    std::ranges::fill(heaviest_, 0.0F);
+    for (int rank = 0; rank < bounds_.ranks; ++rank) {
+        const float *loads = &loads_[static_cast<size_t>(rank) * samples_];
+        for (size_t sample = 0; sample < samples_; ++sample) {
+            heaviest_[sample] = std::max(heaviest_[sample], loads[sample]);
+        }
     }
-    return sum / static_cast<double>(samples_.size());
+    return std::accumulate(heaviest_.begin(), heaviest_.end(), 0.0) / static_cast<double>(samples_);
 }
 
 double SamplePlacement::skewAtStart() const
@@ -185,37 +205,30 @@
 
 std::vector<RankExperts> SamplePlacement::placement() const
 {
-    std::vector<RankExperts> result(static_cast<size_t>(bounds_.ranks));
-    for (int rank = 0; rank < bounds_.ranks; ++rank) {
-        for (int expert = 0; expert < bounds_.experts; ++expert) {
-            if (holds(rank, expert)) {
-                result[static_cast<size_t>(rank)].push_back(expert);
-            }
-        }
-    }
-    return result;
+    return expertsOf_;
 }
 
 int SamplePlacement::heaviestRank(size_t sample) const
 {
-    const auto first = loads_.begin() + static_cast<std::ptrdiff_t>(sample * static_cast<size_t>(bounds_.ranks));
-    return static_cast<int>(std::max_element(first, first + bounds_.ranks) - first);
+    int heaviest = 0;
+    for (int rank = 1; rank < bounds_.ranks; ++rank) {
+        if (load(sample, rank) > load(sample, heaviest)) {
+            heaviest = rank;
+        }
+    }
+    return heaviest;
 }
 
 int SamplePlacement::pickHeavyExpert(size_t sample, int rank)
 {
+    const RankExperts &experts = expertsOf_[static_cast<size_t>(rank)];
     float total = 0.0F;
-    for (int expert = 0; expert < bounds_.experts; ++expert) {
-        if (holds(rank, expert)) {
-            total += samples_[sample][static_cast<size_t>(expert)] / static_cast<float>(replicas_[static_cast<size_t>(expert)]);
-        }
+    for (const int expert : experts) {
+        total += share(sample, expert);
     }
     float point = total * static_cast<float>(random_()) / static_cast<float>(std::minstd_rand::max());
-    for (int expert = 0; expert < bounds_.experts; ++expert) {
-        if (!holds(rank, expert)) {
-            continue;
-        }
-        point -= samples_[sample][static_cast<size_t>(expert)] / static_cast<float>(replicas_[static_cast<size_t>(expert)]);
+    for (const int expert : experts) {
+        point -= share(sample, expert);
         if (point <= 0.0F) {
             return expert;
         }
@@ -238,16 +251,12 @@
 int SamplePlacement::pickRedundantExpert(size_t sample, int rank, int except) const
 {
     int best = -1;
-    float bestShare = 0.0F;
-    for (int expert = 0; expert < bounds_.experts; ++expert) {
-        const int replicas = replicas_[static_cast<size_t>(expert)];
-        if (expert == except || replicas < 2 || !holds(rank, expert)) {
+    for (const int expert : expertsOf_[static_cast<size_t>(rank)]) {
+        if (expert == except || holdersOf_[static_cast<size_t>(expert)].size() < 2) {
             continue;
         }
-        const float share = samples_[sample][static_cast<size_t>(expert)] / static_cast<float>(replicas);
-        if (best < 0 || share < bestShare) {
+        if (best < 0 || share(sample, expert) < share(sample, best)) {
             best = expert;
-            bestShare = share;
         }
     }
     return best;
@@ -256,25 +265,25 @@
 int SamplePlacement::pickLightExpert(size_t sample, int rank, int except) const
 {
     int best = -1;
-    for (int expert = 0; expert < bounds_.experts; ++expert) {
-        if (expert == except || replicas_[static_cast<size_t>(expert)] != 1 || !holds(rank, expert)) {
+    for (const int expert : expertsOf_[static_cast<size_t>(rank)]) {
+        if (expert == except || holdersOf_[static_cast<size_t>(expert)].size() != 1) {
             continue;
         }
-        if (best < 0 || samples_[sample][static_cast<size_t>(expert)] < samples_[sample][static_cast<size_t>(best)]) {
+        if (best < 0 || share(sample, expert) < share(sample, best)) {
             best = expert;
         }
     }
     return best;
 }
 
-float &SamplePlacement::load(size_t sample, int rank)
+float SamplePlacement::load(size_t sample, int rank) const
 {
-    return loads_[sample * static_cast<size_t>(bounds_.ranks) + static_cast<size_t>(rank)];
+    return loads_[static_cast<size_t>(rank) * samples_ + sample];
 }
 
-float SamplePlacement::load(size_t sample, int rank) const
+float SamplePlacement::share(size_t sample, int expert) const
 {
-    return loads_[sample * static_cast<size_t>(bounds_.ranks) + static_cast<size_t>(rank)];
+    return weights_[static_cast<size_t>(expert) * samples_ + sample] / static_cast<float>(holdersOf_[static_cast<size_t>(expert)].size());
 }
 
 size_t SamplePlacement::placeOf(int rank, int expert) const
--- a/src/expertmap/sampleplacement.h
+++ b/src/expertmap/sampleplacement.h
@@ -59,7 +59,10 @@
     bool propose();
     bool tryChanges(std::span<const Change> changes);
     bool allowed(const Change &change) const;
-    void apply(const Change &change);
+    /// Adds or removes the expert at the rank in the lists and counts, not in the loads.
+    void list(const Change &change);
+    /// Adds @p sign times the expert's load to all ranks that hold it.
+    void spread(int expert, float sign);
     double cost() const;
     int heaviestRank(size_t sample) const;
     int pickHeavyExpert(size_t sample, int rank);
@@ -67,19 +70,22 @@
     int pickRedundantExpert(size_t sample, int rank, int except) const;
     int pickLightExpert(size_t sample, int rank, int except) const;
 
-    float &load(size_t sample, int rank);
     float load(size_t sample, int rank) const;
+    /// Load of the expert in @p sample, borne by each of its replicas.
+    float share(size_t sample, int expert) const;
     bool holds(int rank, int expert) const;
     size_t placeOf(int rank, int expert) const;
 
     PlacementBounds bounds_;
-    std::vector<SetSample> samples_;
+    size_t samples_ = 0;
+    std::vector<float> weights_; ///< experts x samples, so that one expert's loads lie together; 1 is the mean rank.
+    std::vector<float> loads_; ///< ranks x samples.
+    std::vector<RankExperts> expertsOf_; ///< By rank, at most placements, ascending.
+    std::vector<std::vector<int>> holdersOf_; ///< Ranks by expert, at least one.
     std::vector<uint8_t> holds_; ///< ranks x experts.
     std::vector<uint8_t> heldAtStart_; ///< ranks x experts.
-    std::vector<int> replicas_; ///< By expert, at least 1.
-    std::vector<int> held_; ///< Experts by rank, at most placements.
     std::vector<int> added_; ///< Experts by rank that were not there at the start, at most spares.
-    std::vector<float> loads_; ///< samples x ranks; 1 is the mean rank.
+    mutable std::vector<float> heaviest_; ///< By sample; memory for cost().
     int copies_ = 0;
     double cost_ = 0.0;
     double startSkew_ = 1.0;
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -507,6 +507,13 @@
 }
 
 asio::awaitable<void> MapController::plan(std::shared_ptr<Group> group)
+{
+    co_await searchAndBegin(group);
+    // Not before: a search that began while the change is being prepared would work on a map that is about to go.
+    group->planning = false;
+}
+
+asio::awaitable<void> MapController::searchAndBegin(std::shared_ptr<Group> group)
 {
     const int64_t epoch = group->epoch;
     const int64_t version = group->mapVersion;
@@ -537,7 +544,6 @@
         copies += search.copies();
         next.push_back(search.placement());
     }
-    group->planning = false;
     const Instant now = framework::monotonicNow();
     group->nextPlan = now + PLAN_INTERVAL;
     group->plannedSkew = after;
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -84,6 +84,8 @@
     transport::asio::awaitable<void> perform(std::shared_ptr<Group> group, std::shared_ptr<expertmap::GroupSwitch> change, expertmap::SwitchCommand command);
     transport::asio::awaitable<void> readMap(std::shared_ptr<Group> group);
     transport::asio::awaitable<void> plan(std::shared_ptr<Group> group);
+    /// Looks for a better map and begins the change to it when that is worth it.
+    transport::asio::awaitable<void> searchAndBegin(std::shared_ptr<Group> group);
     transport::asio::awaitable<std::optional<expertmap::RankReport>> readReport(std::string upstream);
 
     GatewayContext &context_;
