--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -7,6 +7,7 @@
 #include "ctl/burnreport.h"
 #include "ctl/fleet.h"
 #include "framework/json.h"
+#include "logreport/requestexplanation.h"
 
 #include <algorithm>
 #include <chrono>
@@ -244,8 +245,42 @@
     });
 }
 
+/// Explains from the logs that the operator has collected: gateways keep none.
+ExitCode explainFromLogs(const std::string &request, const std::vector<std::string> &paths)
+{
+    std::vector<logreport::LogRecord> records;
+    for (const std::string &path : paths) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << path << ": cannot be read\n";
+            return InvalidConfiguration;
+        }
+        logreport::LogRecord record;
+        for (std::string line; std::getline(file, line);) {
+            if (logreport::readLogLine(line, record)) {
+                records.push_back(record);
+            }
+        }
+    }
+    const logreport::RequestExplanation explanation = logreport::explainRequest(records, request);
+    std::cout << explanation.cause << '\n';
+    for (const logreport::LogRecord &line : explanation.lines) {
+        std::cout << "  " << logreport::toText(line) << '\n';
+    }
+    if (!explanation.around.empty()) {
+        std::cout << "beliefs that changed meanwhile and shortly before:\n";
+    }
+    for (const logreport::LogRecord &line : explanation.around) {
+        std::cout << "  " << logreport::toText(line) << '\n';
+    }
+    return explanation.lines.empty() ? NotInForce : Done;
+}
+
 ExitCode explain(const Arguments &arguments)
 {
+    if (const auto &paths = arguments.at("--logs").asStringList(); !paths.empty()) {
+        return explainFromLogs(arguments.at("REQUEST").asString(), paths);
+    }
     CurrentConfig current;
     if (const ExitCode code = readCurrent(arguments.at("--store").asString(), current); code != Done) {
         return code;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -18,7 +18,7 @@
   daisymountctl status --store=ADDRESS
   daisymountctl zone (out|in) NAME --store=ADDRESS [--wait=MS]
   daisymountctl vm (out|in) NAME --store=ADDRESS [--wait=MS]
-  daisymountctl explain REQUEST --store=ADDRESS
+  daisymountctl explain REQUEST (--store=ADDRESS | --logs=FILE...)
   daisymountctl report burn --store=ADDRESS [--json] [--html=FILE]
   daisymountctl alerts --store=ADDRESS
   daisymountctl codes
@@ -31,6 +31,7 @@
   --store=ADDRESS    Address and port of the platform's key-value service.
   --expect=REVISION  Refuse when another revision is in force.
   --wait=MS          How long to wait until all nodes have the change [default: 15000].
+  --logs=FILE        Saved logs of gateways and rank agents; may be given several times.
   --json             Print JSON.
   --html=FILE        Write an HTML page.
   -h --help          Show this text.
--- /dev/null
+++ b/src/logreport/internal/requestexplanation.cpp
@@ -0,0 +1,162 @@
+// From a request's lines to the cause of its end.
+
+#include "logreport/requestexplanation.h"
+
+#include "framework/json.h"
+#include "framework/resultcode.h"
+
+#include <algorithm>
+#include <array>
+
+namespace daisymount::logreport
+{
+
+namespace
+{
+using framework::ResultCode;
+
+/// Beliefs that changed so long before the request may have decided its end.
+constexpr int64_t BEFORE_MS = 1'500;
+constexpr size_t MOST_AROUND = 40;
+constexpr std::array<std::string_view, 8> KNOWN_FIELDS{"time_ms", "vm", "duty", "event", "code", "request", "availability_zone", "name"};
+
+std::string meaningOf(int64_t code)
+{
+    for (const framework::ResultCodeInfo &info : framework::resultCodes()) {
+        if (static_cast<int64_t>(info.code) == code) {
+            return std::string(info.meaning);
+        }
+    }
+    return "code " + std::to_string(code);
+}
+
+bool is(int64_t code, ResultCode wanted)
+{
+    return code == static_cast<int64_t>(wanted);
+}
+
+std::string text(const LogRecord &record, std::string_view name)
+{
+    const std::string_view value = record.detail(name);
+    return value.empty() ? "unknown" : std::string(value);
+}
+
+std::string refusalCause(const LogRecord &admission)
+{
+    if (admission.detail("group_down") == "yes") {
+        return "refused at admission: the engines' group made no passes; see no_report and group_adopted lines around that time";
+    }
+    return "refused at admission: " + text(admission, "in_flight") + " requests were at " + text(admission, "engines") + " engines, passes took "
+        + text(admission, "pass_ms") + " ms, after a wait of " + text(admission, "waited_ms") + " ms";
+}
+
+std::string attemptsCause(std::span<const LogRecord> lines)
+{
+    std::string cause;
+    for (const LogRecord &line : lines) {
+        if (line.event == "attempt") {
+            cause += (cause.empty() ? "" : ", then ") + text(line, "upstream") + " " + text(line, "end") + " (status " + text(line, "status") + ", "
+                + text(line, "ms") + " ms)";
+        }
+    }
+    return cause.empty() ? "no upstream was tried" : "tried " + cause;
+}
+
+std::string causeOf(std::span<const LogRecord> lines)
+{
+    if (lines.empty()) {
+        return "no line tells of this request: it reached no gateway, or its lines were dropped (see lines_dropped)";
+    }
+    const auto answered = std::ranges::find(lines, "answered", &LogRecord::event);
+    if (answered == lines.end()) {
+        return "there is no final answer in these logs: the process ended first, or the request still runs; " + attemptsCause(lines);
+    }
+    const auto refused = std::ranges::find_if(lines, [](const LogRecord &line) { return line.duty == "admission" && line.event == "refused"; });
+    if (refused != lines.end() && is(answered->code, ResultCode::UpstreamFull)) {
+        return refusalCause(*refused);
+    }
+    if (is(answered->code, ResultCode::Ok)) {
+        return "served: first part after " + text(*answered, "first_ms") + " ms, whole after " + text(*answered, "ms") + " ms; " + attemptsCause(lines);
+    }
+    return meaningOf(answered->code) + " (status " + text(*answered, "status") + "); " + attemptsCause(lines) + "; configuration revision "
+        + text(*answered, "config_revision") + ", upstreams revision " + text(*answered, "upstreams_revision");
+}
+
+bool changesABelief(const LogRecord &record)
+{
+    const bool routineOrder = record.event == "order" && record.detail("outcome") != "unknown";
+    return record.request.empty() && record.duty != "forwarding" && !routineOrder;
+}
+} // namespace
+
+std::string_view LogRecord::detail(std::string_view name) const
+{
+    const auto found = std::ranges::find_if(details, [name](const auto &entry) { return entry.first == name; });
+    return found == details.end() ? std::string_view() : std::string_view(found->second);
+}
+
+bool readLogLine(std::string_view line, LogRecord &record)
+{
+    const size_t begin = line.find('{');
+    if (begin == std::string_view::npos) {
+        return false;
+    }
+    record = LogRecord{};
+    const framework::Ret read = framework::attempt([&]() -> framework::Result<void> {
+        BOOST_LEAF_AUTO(json, framework::parseJsonObject(line.substr(begin)));
+        record.timeMs = framework::intField(json, "time_ms");
+        record.vm = framework::stringField(json, "vm");
+        record.duty = framework::stringField(json, "duty");
+        record.event = framework::stringField(json, "event");
+        record.code = framework::intField(json, "code");
+        record.request = framework::stringField(json, "request");
+        for (const std::string &name : json.getMemberNames()) {
+            if (std::ranges::find(KNOWN_FIELDS, name) == KNOWN_FIELDS.end()) {
+                record.details.emplace_back(name, json[name].isString() ? json[name].asString() : framework::writeJson(json[name]));
+            }
+        }
+        return {};
+    });
+    return read && record.timeMs > 0 && !record.event.empty();
+}
+
+RequestExplanation explainRequest(std::span<const LogRecord> records, std::string_view request)
+{
+    RequestExplanation explanation;
+    for (const LogRecord &record : records) {
+        if (!request.empty() && record.request == request) {
+            explanation.lines.push_back(record);
+        }
+    }
+    std::ranges::stable_sort(explanation.lines, {}, &LogRecord::timeMs);
+    explanation.cause = causeOf(explanation.lines);
+    if (explanation.lines.empty()) {
+        return explanation;
+    }
+    const LogRecord &last = explanation.lines.back();
+    const std::string_view lasted = last.detail("ms");
+    const int64_t ranMs = lasted.empty() ? 0 : std::atoll(std::string(lasted).c_str());
+    const int64_t from = std::min(explanation.lines.front().timeMs, last.timeMs - ranMs) - BEFORE_MS;
+    for (const LogRecord &record : records) {
+        if (record.timeMs >= from && record.timeMs <= last.timeMs && changesABelief(record)) {
+            explanation.around.push_back(record);
+        }
+    }
+    std::ranges::stable_sort(explanation.around, {}, &LogRecord::timeMs);
+    if (explanation.around.size() > MOST_AROUND) {
+        // The newest ones are the likeliest causes.
+        explanation.around.erase(explanation.around.begin(), explanation.around.end() - MOST_AROUND);
+    }
+    return explanation;
+}
+
+std::string toText(const LogRecord &record)
+{
+    std::string line = std::to_string(record.timeMs) + " " + record.vm + " " + record.duty + " " + record.event + " code " + std::to_string(record.code);
+    for (const auto &[name, value] : record.details) {
+        line += " " + name + "=" + value;
+    }
+    return line;
+}
+
+} // namespace daisymount::logreport
--- /dev/null
+++ b/src/logreport/tests/logreport_tests.cpp
@@ -0,0 +1,83 @@
+// Tests of explaining a request from saved logs, on lines as gateways write them.
+
+#include "logreport/requestexplanation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount::logreport;
+
+TEST_GROUP(RequestExplanation)
+{
+    std::vector<LogRecord> records;
+
+    void line(std::string_view text)
+    {
+        LogRecord record;
+        if (readLogLine(text, record)) {
+            records.push_back(std::move(record));
+        }
+    }
+
+    std::string cause(std::string_view request)
+    {
+        return explainRequest(records, request).cause;
+    }
+};
+
+TEST(RequestExplanation, aRefusalIsExplainedByTheLoadThatDecidedIt)
+{
+    line(
+        R"(  12.1 vm-1 {"time_ms":1000,"vm":"vm-1","duty":"admission","event":"refused","code":202,"request":"a1","in_flight":"132","engines":"12","pass_ms":"101","group_down":"no","waited_ms":"120"})");
+    line(R"({"time_ms":1000,"vm":"vm-1","duty":"forwarding","event":"answered","code":202,"request":"a1","status":"503","ms":"121"})");
+    CHECK(cause("a1").find("132 requests were at 12 engines, passes took 101 ms") != std::string::npos);
+}
+
+TEST(RequestExplanation, aRefusalWhileTheGroupIsAwaySaysSo)
+{
+    line(R"({"time_ms":900,"vm":"vm-2","duty":"maps","event":"no_report","code":303,"upstream":"u7"})");
+    line(R"({"time_ms":1000,"vm":"vm-1","duty":"admission","event":"refused","code":202,"request":"a1","in_flight":"40","engines":"12","group_down":"yes"})");
+    line(R"({"time_ms":1001,"vm":"vm-1","duty":"forwarding","event":"answered","code":202,"request":"a1","status":"503","ms":"1"})");
+    const RequestExplanation explanation = explainRequest(records, "a1");
+    CHECK(explanation.cause.find("made no passes") != std::string::npos);
+    LONGS_EQUAL(1, explanation.around.size());
+    STRCMP_EQUAL("no_report", explanation.around.front().event.c_str());
+}
+
+TEST(RequestExplanation, aFailureNamesEachUpstreamAndHowItEnded)
+{
+    line(
+        R"({"time_ms":1100,"vm":"vm-1","duty":"forwarding","event":"attempt","code":303,"request":"b2","upstream":"u1","end":"not_run","status":"503","ms":"4"})");
+    line(
+        R"({"time_ms":1200,"vm":"vm-1","duty":"forwarding","event":"attempt","code":303,"request":"b2","upstream":"u2","end":"may_have_run","status":"0","ms":"90"})");
+    line(R"({"time_ms":1200,"vm":"vm-1","duty":"forwarding","event":"answered","code":304,"request":"b2","status":"502","ms":"95","config_revision":"7"})");
+    CHECK(cause("b2").find("tried u1 not_run (status 503, 4 ms), then u2 may_have_run (status 0, 90 ms)") != std::string::npos);
+    CHECK(cause("b2").find("configuration revision 7") != std::string::npos);
+}
+
+TEST(RequestExplanation, aLateAnswerShowsWhatChangedMeanwhile)
+{
+    line(R"({"time_ms":100,"vm":"vm-3","duty":"maps","event":"switched","code":0,"version":"1"})");
+    line(R"({"time_ms":4000,"vm":"vm-3","duty":"maps","event":"given_up","code":601,"reason":"not every rank was armed in time"})");
+    line(R"({"time_ms":4100,"vm":"vm-3","duty":"maps","event":"order","code":0,"outcome":"done"})");
+    line(R"({"time_ms":5000,"vm":"vm-1","duty":"forwarding","event":"answered","code":0,"request":"c3","status":"200","first_ms":"180","ms":"2000"})");
+    const RequestExplanation explanation = explainRequest(records, "c3");
+    CHECK(explanation.cause.find("first part after 180 ms") != std::string::npos);
+    LONGS_EQUAL(1, explanation.around.size());
+    STRCMP_EQUAL("given_up", explanation.around.front().event.c_str());
+}
+
+TEST(RequestExplanation, requestsWithoutAnEndOrWithoutLinesAreToldApart)
+{
+    line(R"({"time_ms":1100,"vm":"vm-1","duty":"forwarding","event":"attempt","code":303,"request":"d4","upstream":"u1","end":"not_run","status":"0"})");
+    CHECK(cause("d4").find("no final answer") != std::string::npos);
+    CHECK(cause("e5").find("no line tells") != std::string::npos);
+    CHECK(cause("").find("no line tells") != std::string::npos);
+}
+
+TEST(RequestExplanation, otherTextIsSkipped)
+{
+    for (const std::string_view text : {"", "{", "no json", "{\"a\":1}", "[1,2]", "{\"time_ms\":\"x\",\"event\":3}"}) {
+        line(text);
+    }
+    LONGS_EQUAL(0, records.size());
+}
