Groups that open anew are seen at once and filled by shares; callers that come back wait for a place

Now reports of the other ranks in a new epoch end the outage, the controller reads the upstreams every 200 ms while a rank is missing, an entry takes no more than 1.25 of its share before it has seen passes, and a caller that comes back waits 1.3 s, then is refused.

--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -23,10 +23,13 @@
 
 struct AdmissionOptions
 {
-    double partOfSlots = 11.0 / 12.0; ///< Of the engines' slots that fresh callers may take, over all entries.
+    double partOfSlots = 11.0 / 12.0; ///< Of the engines' slots that fresh callers may take, over all entries; the rest is for those who
+                                      ///< come back and would not come a third time.
     double leastPartOfSlots = 0.5; ///< Stays open however long passes are: late answers are worth more than none.
     double unknownPartOfSlots = 2.0 / 3.0; ///< Of a group whose passes have not been seen: it may have formed anew, with experts in turn.
     double partOfPause = 0.75; ///< Of the permitted pause that a mean pass may take: single passes are longer.
+    double shareWhileUnknown = 1.25; ///< Of its even share of the places that one entry may take before it has seen passes.
+    milliseconds longestReturningWait{1'300}; ///< Callers leave after two seconds without an event; the first one takes up to 0.6 s.
     milliseconds longestWait{110}; ///< For a place; a stream that waits this long still gets its first event in time.
     milliseconds serviceTime{2'200}; ///< That a usual stream needs once it is let in.
 };
@@ -41,6 +44,8 @@
 struct AdmissionView
 {
     int inFlight = 0; ///< Over all entries, as far as known.
+    int ownInFlight = 0; ///< Of this entry.
+    int entries = 1; ///< That take callers, this one among them.
     int engines = 0;
     int slotsPerEngine = 0;
     StepTiming timing;
@@ -74,6 +79,7 @@
 private:
     /// Requests that may be at the engines.
     double places(const AdmissionView &view) const;
+    bool withinShare(const AdmissionView &view) const;
     milliseconds spread(milliseconds from, milliseconds to);
 
     AdmissionOptions options_;
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -33,20 +33,26 @@
     const auto part = [&](double share) { return milliseconds{static_cast<int64_t>(static_cast<double>(patience.count()) * share)}; };
     if (view.groupDown) {
         // A caller comes back once: the first time it is sent away, the second time it waits while it can still be served.
-        if (view.returning && view.left > options_.serviceTime) {
+        if (view.returning && view.left > options_.serviceTime && view.waited < options_.longestReturningWait) {
             return {Admission::Wait, milliseconds{0}};
         }
         return {Admission::Refuse, spread(part(EARLIEST_RETURN_DOWN), part(LATEST_RETURN_DOWN))};
     }
-    if (view.inFlight < places(view)) {
+    if (view.inFlight < places(view) && withinShare(view)) {
         return {Admission::Admit, milliseconds{0}};
     }
-    if (view.waited < options_.longestWait) {
+    if (view.waited < (view.returning ? options_.longestReturningWait : options_.longestWait)) {
         return {Admission::Wait, milliseconds{0}};
     }
     return {Admission::Refuse, spread(part(EARLIEST_RETURN), part(LATEST_RETURN))};
 }
 
+bool EngineAdmission::withinShare(const AdmissionView &view) const
+{
+    // A group that opens again is filled by all entries at once, before they have heard of each other's requests.
+    return view.passTime || view.ownInFlight < std::max(1.0, options_.shareWhileUnknown * places(view) / std::max(1, view.entries));
+}
+
 double EngineAdmission::places(const AdmissionView &view) const
 {
     const double slots = static_cast<double>(view.engines) * view.slotsPerEngine;
@@ -56,7 +62,6 @@
     if (!view.passTime) {
         return slots * options_.unknownPartOfSlots;
     }
-    // Callers that come back do not come a third time: they may take the last slots.
     const double most = slots * (view.returning ? 1.0 : options_.partOfSlots);
     const double wanted = options_.partOfPause * static_cast<double>(view.pause.count());
     if (wanted <= 0.0 || view.timing.perSequenceMs <= 0.0 || view.engines == 0) {
--- a/src/dispatch/tests/engineadmission_tests.cpp
+++ b/src/dispatch/tests/engineadmission_tests.cpp
@@ -114,6 +114,32 @@
     CHECK(admission.decide(view).admission == Admission::Admit);
 }
 
+TEST(EngineAdmission, aGroupWhosePassesAreNotKnownIsFilledByEachEntryInItsShare)
+{
+    view.passTime.reset();
+    view.entries = 6;
+    view.inFlight = 20;
+    view.ownInFlight = 20;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.ownInFlight = 19;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+    view.passTime = milliseconds{60};
+    view.ownInFlight = 40;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
+TEST(EngineAdmission, callersThatComeBackWaitForAPlaceUntilTheyWouldLeave)
+{
+    view.inFlight = 12 * 12;
+    view.returning = true;
+    view.waited = milliseconds{1'200};
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.waited = milliseconds{1'400};
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+    view.groupDown = true;
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+}
+
 TEST(EngineAdmission, aGroupOutageIsRefusedAtOnceTheFirstTime)
 {
     view.groupDown = true;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -39,6 +39,7 @@
     bool draining = false; ///< SIGTERM has come: not ready, connections are closed behind their answers.
     Instant drainingSince{0};
     Instant upstreamsReadAt{0}; ///< When this gateway last read the upstreams from the store itself.
+    bool upstreamsWanted = false; ///< A rank of a group is missing: its new registration is looked for in short intervals.
     int activeRequests = 0;
     size_t bufferedBytes = 0; ///< Bodies of requests that are being read or forwarded.
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -178,6 +178,8 @@
         const dispatch::EngineLoad load = context_.dispatcher.engineLoad(service_);
         dispatch::AdmissionView view;
         view.inFlight = load.inFlight + context_.peers.inFlightOfOthers(service_, now);
+        view.ownInFlight = load.inFlight;
+        view.entries = static_cast<int>(context_.peers.serving(now).size()) + 1;
         view.engines = load.usable;
         view.slotsPerEngine = engine.slots;
         view.timing = {engine.stepMs, engine.stepMsPerSequence};
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -149,6 +149,7 @@
                 down.push_back(group->service);
             }
         }
+        context_.upstreamsWanted = std::ranges::any_of(groups_, [](const auto &entry) { return entry.second->stale && entry.second->ranks.empty(); });
         context_.peers.self().groupsDown = std::move(down);
         co_await transport::sleepFor(STEP);
     }
@@ -259,7 +260,9 @@
             group.highestVersion = std::max(group.highestVersion, version);
         }
     }
-    group.down = !whole;
+    // A group opens again in a new epoch, often before the registration of the rank that has come back is known here.
+    const bool openAnew = std::ranges::all_of(members, [&](const auto &entry) { return entry.second.open && entry.second.epoch != group.epoch; });
+    group.down = !whole && !openAnew;
     if (!whole) {
         group.stale = true;
         refreshedAt_[group.service] = now - refreshPause() + DOWN_REFRESH_PAUSE;
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds RETRY_PAUSE{200};
 /// Without an answer for this much longer than a watch waits, the store counts as lost to this machine.
 constexpr milliseconds LOST_MARGIN{1'100};
+constexpr milliseconds UPSTREAMS_WANTED_POLL{50};
 /// Upstreams that were read longer ago are asked for at peers.
 constexpr milliseconds UPSTREAMS_STALE{900};
 constexpr milliseconds PEER_POLL{250};
@@ -218,7 +219,8 @@
 {
     while (true) {
         bool read = false;
-        const std::optional<peers::Peer> reader = context_.peers.zoneReader(framework::monotonicNow());
+        const bool hurry = context_.upstreamsWanted;
+        const std::optional<peers::Peer> reader = hurry ? std::nullopt : context_.peers.zoneReader(framework::monotonicNow());
         if (reader) {
             read = co_await takeFrom(*reader, peers::UPSTREAMS_PAGE);
         }
@@ -228,7 +230,12 @@
         if (read) {
             upstreamsTakenAt_ = framework::monotonicNow();
         }
-        co_await transport::sleepFor(read ? context_.settings.bounds.drain / READINGS_PER_DRAIN : RETRY_PAUSE);
+        const milliseconds pause = read ? context_.settings.bounds.drain / READINGS_PER_DRAIN : RETRY_PAUSE;
+        const Instant next = framework::monotonicNow() + (hurry ? std::min(pause, RETRY_PAUSE) : pause);
+        // A rank that has gone missing meanwhile shortens the pause.
+        while (framework::monotonicNow() < next && hurry == context_.upstreamsWanted) {
+            co_await transport::sleepFor(UPSTREAMS_WANTED_POLL);
+        }
         context_.view.expire(framework::monotonicNow());
     }
 }
