--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -40,6 +40,8 @@
 constexpr milliseconds DOWN_REFRESH_PAUSE{200};
 /// While ranks are armed they switch within a few passes.
 constexpr milliseconds ARMED_REFRESH_PAUSE{60};
+/// A group that has requests and makes no pass for so long may be held by an order that came late.
+constexpr milliseconds LONGEST_WITHOUT_PASS{600};
 /// Passes that a change may take from its release until it is in force on all ranks.
 constexpr int PASSES_TO_SETTLE = 2;
 /// Through agents beside the engines reads are free; so many ranks are read a round. Those of the own zone come first, since the bytes
@@ -392,6 +394,12 @@
         return;
     }
     sample(group, now);
+    if (heldBack(*group, now)) {
+        // Perhaps an order of an earlier controller that came late: the reports tell whether a pass is held.
+        group->passedAt = now;
+        group->stale = true;
+        return;
+    }
     const bool fresh = group->samples.taken() - group->samplesAtPlan >= SAMPLES_PER_PLAN && group->samples.taken() >= FIRST_SAMPLES;
     const bool due = fresh && now >= group->settledAt && (now >= group->nextPlan || demandShifted(*group));
     if (due && !group->planning && !context_.draining) {
@@ -401,6 +409,15 @@
     }
 }
 
+bool MapController::heldBack(Group &group, Instant now) const
+{
+    const int inFlight = context_.dispatcher.engineLoad(group.service).inFlight + context_.peers.inFlightOfOthers(group.service, now);
+    if (inFlight == 0) {
+        group.passedAt = now;
+    }
+    return now - group.passedAt > LONGEST_WITHOUT_PASS;
+}
+
 void MapController::cleanUp(Group &group, Instant now)
 {
     // The map in force adds no expert to any rank, so every rank can prepare it again.
@@ -468,6 +485,9 @@
         }
         const Instant now = framework::monotonicNow();
         if (rank == group->timedRank) {
+            if (counts.lastPass != group->passSeen) {
+                group->passedAt = now;
+            }
             if (group->passSeen > 0 && counts.lastPass > group->passSeen) {
                 const Duration measured = (now - group->passSeenAt) / (counts.lastPass - group->passSeen);
                 group->passTime += PASS_TIME_WEIGHT * (std::clamp<Duration>(measured, SHORTEST_PASS, LONGEST_PASS) - group->passTime);
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -53,6 +53,7 @@
         Instant lastRefresh{0};
         Instant passSeenAt{0};
         int64_t passSeen = 0;
+        Instant passedAt{0}; ///< When the group was last seen to make passes, or its reports were read for want of them.
         int timedRank = 0; ///< Whose pass numbers tell the pass time.
         std::chrono::duration<double, std::milli> passTime{60}; ///< Drifting average.
     };
@@ -67,6 +68,8 @@
     void sample(const std::shared_ptr<Group> &group, Instant now);
     /// The newest samples are much less even than planned.
     bool demandShifted(const Group &group) const;
+    /// The group has requests and makes no passes.
+    bool heldBack(Group &group, Instant now) const;
     /// Ends what an earlier change has left.
     void cleanUp(Group &group, Instant now);
     /// True while a change of some group is under way.
