An emulated lock-step group, and a bench that plays policies for maps and admission on it

Pass time from the published steps, experts by subject, prompts in chunks, shifts of demand, copies; seeded, in simulated time.

--- a/bench/benches.h
+++ b/bench/benches.h
@@ -10,5 +10,6 @@
 void benchOrganisations();
 void benchClaims();
 void benchControl();
+void benchGroup();
 
 } // namespace daisymount::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -15,11 +15,12 @@
 
 Usage: bench [NAME...]
 
-NAME is one of claims, control, organisations, placement, routing; all when none is given.
+NAME is one of claims, control, group, organisations, placement, routing; all when none is given.
 )";
     using namespace daisymount::bench;
-    const std::map<std::string, std::function<void()>> benches{
-        {"claims", benchClaims}, {"control", benchControl}, {"organisations", benchOrganisations}, {"placement", benchPlacement}, {"routing", benchRouting}};
+    const std::map<std::string, std::function<void()>> benches{{"claims", benchClaims},       {"control", benchControl},
+                                                               {"group", benchGroup},         {"organisations", benchOrganisations},
+                                                               {"placement", benchPlacement}, {"routing", benchRouting}};
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
     const auto names = arguments.at("NAME").asStringList();
--- /dev/null
+++ b/src/emulator/experiment.h
@@ -0,0 +1,54 @@
+// Plays a load on an emulated group under a policy for maps and admission, and tells what callers got.
+
+#pragma once
+
+#include "dispatch/engineadmission.h"
+#include "emulator/lockstepgroup.h"
+
+#include <string_view>
+
+namespace daisymount::emulator
+{
+
+enum class MapPolicy : uint8_t {
+    InTurn, ///< The map that a group starts with.
+    EvenSums, ///< Even over the sum of the last seconds, anew every few seconds.
+    Samples, ///< Even within short samples, as the gateways do it.
+};
+
+std::string_view toString(MapPolicy policy);
+
+struct ExperimentOptions
+{
+    GroupShape shape;
+    MapPolicy policy = MapPolicy::Samples;
+    dispatch::AdmissionOptions admission;
+    double requestsPerSecond = 56.0;
+    double meanPromptTokens = 850.0;
+    double meanEvents = 28.0;
+    milliseconds firstObjective{400};
+    milliseconds pauseObjective{120};
+    milliseconds duration{30'000};
+    milliseconds shiftInterval{3'100}; ///< Between shifts of demand, 0: none.
+    double shiftPart = 0.6;
+    double copyCost = 0.012;
+    uint64_t seed = 1;
+};
+
+struct ExperimentResult
+{
+    int asked = 0;
+    int onTime = 0; ///< First event and every pause within the objectives.
+    int late = 0;
+    int refused = 0;
+    double meanSkew = 0.0;
+    milliseconds firstP50{0};
+    milliseconds firstP99{0};
+    milliseconds pauseP99{0}; ///< Of the longest pause of each stream.
+    int copies = 0;
+    int changes = 0;
+};
+
+ExperimentResult play(const ExperimentOptions &options);
+
+} // namespace daisymount::emulator
--- /dev/null
+++ b/src/emulator/internal/experiment.cpp
@@ -0,0 +1,274 @@
+// One played experiment: arrivals, admission, passes, and maps as the policy wants them.
+
+#include "emulator/experiment.h"
+
+#include "expertmap/loadsamples.h"
+#include "expertmap/sampleplacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace daisymount::emulator
+{
+
+namespace
+{
+/// Cadence of the gateways' map controller.
+constexpr milliseconds SAMPLE_INTERVAL{100};
+constexpr milliseconds PLAN_INTERVAL{300};
+constexpr milliseconds EVEN_SUMS_INTERVAL{3'600};
+/// From a plan until its map is in force, without the copies.
+constexpr milliseconds SWITCH_TIME{180};
+constexpr double LEAST_GAIN = 0.1;
+constexpr int MOST_COPIES = 2;
+constexpr int PROPOSALS = 4'000;
+constexpr int64_t FRESH_SAMPLES = 8;
+
+struct Caller
+{
+    EmulatedRequest request;
+    Instant arrivedAt{0};
+    Instant lastEvent{0};
+    Duration longestPause{0};
+};
+
+milliseconds percentile(std::vector<Duration> values, double part)
+{
+    if (values.empty()) {
+        return milliseconds{0};
+    }
+    const auto index = std::min(values.size() - 1, static_cast<size_t>(part * static_cast<double>(values.size())));
+    std::ranges::nth_element(values, values.begin() + static_cast<std::ptrdiff_t>(index));
+    return std::chrono::duration_cast<milliseconds>(values[index]);
+}
+
+/// Reads counts and changes maps.
+class MapKeeper
+{
+public:
+    MapKeeper(const ExperimentOptions &options, LockStepGroup &group) : options_(options), group_(group), random_(static_cast<unsigned>(options.seed))
+    { }
+
+    void step(Instant now, ExperimentResult &result)
+    {
+        if (pendingAt_ != Instant{0} && now >= pendingAt_) {
+            group_.setMap(std::move(pending_));
+            pendingAt_ = Instant{0};
+            nextPlan_ = now + (options_.policy == MapPolicy::EvenSums ? EVEN_SUMS_INTERVAL : PLAN_INTERVAL);
+        }
+        if (options_.policy == MapPolicy::InTurn || now < nextSample_) {
+            return;
+        }
+        nextSample_ = now + SAMPLE_INTERVAL;
+        for (int rank = 0; rank < group_.shape().ranks; ++rank) {
+            samples_.onCounts(rank, group_.counts(rank));
+        }
+        const bool fresh = samples_.taken() - takenAtPlan_ >= FRESH_SAMPLES;
+        if (fresh && pendingAt_ == Instant{0} && now >= nextPlan_) {
+            plan(now, result);
+        }
+    }
+
+private:
+    std::vector<expertmap::SetSample> samplesOf(size_t set) const
+    {
+        std::vector<expertmap::SetSample> samples;
+        for (const expertmap::LoadSample &sample : samples_.samples()) {
+            samples.push_back(sample[set]);
+        }
+        if (options_.policy == MapPolicy::EvenSums && !samples.empty()) {
+            for (size_t i = 1; i < samples.size(); ++i) {
+                std::ranges::transform(samples[0], samples[i], samples[0].begin(), std::plus{});
+            }
+            std::ranges::for_each(samples[0], [&](float &load) { load /= static_cast<float>(samples.size()); });
+            samples.resize(1);
+        }
+        return samples;
+    }
+
+    void plan(Instant now, ExperimentResult &result)
+    {
+        takenAtPlan_ = samples_.taken();
+        nextPlan_ = now + PLAN_INTERVAL;
+        const GroupShape &shape = group_.shape();
+        const expertmap::PlacementBounds bounds{shape.ranks, shape.experts, shape.placements, std::min(shape.spares, MOST_COPIES), options_.copyCost};
+        expertmap::GroupMap next;
+        double gain = 0.0;
+        int copies = 0;
+        std::vector<int> copiesOf(static_cast<size_t>(shape.ranks));
+        for (size_t set = 0; set < group_.map().size(); ++set) {
+            expertmap::SamplePlacement search(bounds, group_.map()[set], samplesOf(set), random_());
+            for (int done = 0; done < PROPOSALS && search.improve(PROPOSALS / 10); done += PROPOSALS / 10) { }
+            gain += (search.skewAtStart() - search.skew()) / shape.sets;
+            copies += search.copies();
+            next.push_back(search.placement());
+            for (size_t rank = 0; rank < copiesOf.size(); ++rank) {
+                const expertmap::RankExperts &before = group_.map()[set][rank];
+                copiesOf[rank]
+                    += static_cast<int>(std::ranges::count_if(next.back()[rank], [&](int expert) { return !std::ranges::binary_search(before, expert); }));
+            }
+        }
+        if (gain < LEAST_GAIN) {
+            return;
+        }
+        result.copies += copies;
+        ++result.changes;
+        pending_ = std::move(next);
+        pendingAt_ = now + SWITCH_TIME + shape.copyTime * *std::ranges::max_element(copiesOf);
+    }
+
+    const ExperimentOptions &options_;
+    LockStepGroup &group_;
+    std::minstd_rand random_;
+    expertmap::LoadSamples samples_{{}};
+    expertmap::GroupMap pending_;
+    Instant pendingAt_{0}; ///< 0: no change is under way.
+    Instant nextSample_{0};
+    Instant nextPlan_{0};
+    int64_t takenAtPlan_ = 0;
+};
+
+/// Callers, from their arrival to their last event.
+class Callers
+{
+public:
+    Callers(const ExperimentOptions &options, LockStepGroup &group)
+        : options_(options), group_(group), random_(options.seed * 7919 + 1), admission_(options.admission, options.seed)
+    { }
+
+    void arrive(Instant until, ExperimentResult &result)
+    {
+        std::exponential_distribution<double> gap(options_.requestsPerSecond);
+        std::exponential_distribution<double> size(1.0);
+        while (nextArrival_ <= until) {
+            EmulatedRequest request;
+            request.id = nextId_++;
+            request.promptTokens = 1 + static_cast<int>(options_.meanPromptTokens * std::min(3.0, size(random_)));
+            request.events = 1 + static_cast<int>(options_.meanEvents * std::min(2.5, size(random_)));
+            request.subject = group_.drawSubject();
+            waiting_.push_back({request, nextArrival_, Instant{0}, Duration{0}});
+            ++result.asked;
+            nextArrival_ += Duration{1 + static_cast<int64_t>(gap(random_) * 1e6)};
+        }
+    }
+
+    void admit(Instant now, bool passesSeen, ExperimentResult &result)
+    {
+        const GroupShape &shape = group_.shape();
+        dispatch::AdmissionView view;
+        view.engines = shape.ranks;
+        view.slotsPerEngine = shape.slots;
+        view.passesSeen = passesSeen;
+        view.left = std::chrono::seconds{8};
+        for (auto caller = waiting_.begin(); caller != waiting_.end();) {
+            view.inFlight = group_.running();
+            view.ownInFlight = view.inFlight;
+            view.waited = now - caller->arrivedAt;
+            const dispatch::Admission decision = admission_.decide(view).admission;
+            if (decision == dispatch::Admission::Admit && group_.admit(caller->request)) {
+                running_.emplace(caller->request.id, *caller);
+                caller = waiting_.erase(caller);
+            } else if (decision == dispatch::Admission::Refuse) {
+                ++result.refused;
+                caller = waiting_.erase(caller);
+            } else {
+                ++caller;
+            }
+        }
+    }
+
+    void deliver(const PassResult &pass, Instant now, ExperimentResult &result)
+    {
+        for (const PassEvent &event : pass.events) {
+            Caller &caller = running_.at(event.id);
+            if (caller.lastEvent == Instant{0}) {
+                firsts_.push_back(now - caller.arrivedAt);
+            } else {
+                caller.longestPause = std::max(caller.longestPause, now - caller.lastEvent);
+            }
+            const bool firstInTime = caller.lastEvent != Instant{0} || now - caller.arrivedAt <= options_.firstObjective;
+            late_[event.id] = late_[event.id] || !firstInTime || caller.longestPause > options_.pauseObjective;
+            caller.lastEvent = now;
+            if (event.last) {
+                (late_[event.id] ? result.late : result.onTime) += 1;
+                pauses_.push_back(caller.longestPause);
+                late_.erase(event.id);
+                running_.erase(event.id);
+            }
+        }
+    }
+
+    void finish(ExperimentResult &result) const
+    {
+        result.firstP50 = percentile(firsts_, 0.5);
+        result.firstP99 = percentile(firsts_, 0.99);
+        result.pauseP99 = percentile(pauses_, 0.99);
+    }
+
+private:
+    const ExperimentOptions &options_;
+    LockStepGroup &group_;
+    std::mt19937_64 random_;
+    dispatch::EngineAdmission admission_;
+    std::deque<Caller> waiting_;
+    std::map<int64_t, Caller> running_; ///< By request.
+    std::map<int64_t, bool> late_; ///< By request.
+    std::vector<Duration> firsts_;
+    std::vector<Duration> pauses_;
+    Instant nextArrival_{1};
+    int64_t nextId_ = 1;
+};
+} // namespace
+
+std::string_view toString(MapPolicy policy)
+{
+    switch (policy) {
+    case MapPolicy::InTurn:
+        return "in turn";
+    case MapPolicy::EvenSums:
+        return "even sums";
+    case MapPolicy::Samples:
+        return "samples";
+    }
+    return "unknown";
+}
+
+ExperimentResult play(const ExperimentOptions &options)
+{
+    LockStepGroup group(options.shape, options.seed);
+    MapKeeper maps(options, group);
+    Callers callers(options, group);
+    ExperimentResult result;
+    Instant now{1};
+    Instant nextShift = now + options.shiftInterval;
+    double skewSum = 0.0;
+    int busyPasses = 0;
+    while (now < options.duration) {
+        if (options.shiftInterval.count() > 0 && now >= nextShift) {
+            group.shiftDemand(options.shiftPart);
+            nextShift += options.shiftInterval;
+        }
+        callers.arrive(now, result);
+        callers.admit(now, busyPasses > 0, result);
+        const PassResult pass = group.pass();
+        now += pass.length;
+        if (!pass.events.empty()) {
+            skewSum += pass.skew;
+            ++busyPasses;
+            passTime = passTime
+                ? Duration{static_cast<int64_t>(std::lerp(static_cast<double>(passTime->count()), static_cast<double>(pass.length.count()), PASS_WEIGHT))}
+                : pass.length;
+        }
+        callers.deliver(pass, now, result);
+        maps.step(now, result);
+    }
+    result.meanSkew = busyPasses > 0 ? skewSum / busyPasses : 1.0;
+    callers.finish(result);
+    return result;
+}
+
+} // namespace daisymount::emulator
--- /dev/null
+++ b/src/emulator/internal/lockstepgroup.cpp
@@ -0,0 +1,206 @@
+// Passes of an emulated group.
+
+#include "emulator/lockstepgroup.h"
+
+#include "expertmap/sampleplacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace daisymount::emulator
+{
+
+namespace
+{
+/// Popularity of subjects falls with this power of their rank.
+constexpr double SUBJECT_EXPONENT = 0.7;
+constexpr double MICROSECONDS_PER_MS = 1'000.0;
+
+/// Shuffled weights that fall with a power of their rank and add up to 1.
+std::vector<double> drawWeights(int count, double exponent, std::mt19937_64 &random)
+{
+    std::vector<double> weights(static_cast<size_t>(count));
+    for (size_t i = 0; i < weights.size(); ++i) {
+        weights[i] = 1.0 / std::pow(static_cast<double>(i + 1), exponent);
+    }
+    const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+    std::ranges::for_each(weights, [total](double &weight) { weight /= total; });
+    std::ranges::shuffle(weights, random);
+    return weights;
+}
+} // namespace
+
+LockStepGroup::LockStepGroup(const GroupShape &shape, uint64_t seed)
+    : shape_(shape)
+    , random_(seed)
+    , ranks_(static_cast<size_t>(shape.ranks))
+    , popularity_(drawWeights(shape.subjects, SUBJECT_EXPONENT, random_))
+    , map_(static_cast<size_t>(shape.sets), expertmap::placedInTurn(shape.ranks, shape.experts))
+    , counts_(static_cast<size_t>(shape.ranks))
+{
+    std::vector<std::vector<double>> common;
+    for (int set = 0; set < shape.sets; ++set) {
+        common.push_back(drawWeights(shape.experts, shape.subjectSkew, random_));
+    }
+    for (int subject = 0; subject < shape.subjects; ++subject) {
+        std::vector<std::vector<double>> sets;
+        for (int set = 0; set < shape.sets; ++set) {
+            std::vector<double> own = drawWeights(shape.experts, shape.subjectSkew, random_);
+            const std::vector<double> &shared = common[static_cast<size_t>(set)];
+            std::ranges::transform(own, shared, own.begin(), [&](double mine, double all) { return std::lerp(mine, all, shape.commonPart); });
+            sets.push_back(std::move(own));
+        }
+        preference_.push_back(std::move(sets));
+    }
+    for (expertmap::ExpertCounts &counts : counts_) {
+        counts.epoch = 1;
+        counts.chosen.assign(static_cast<size_t>(shape.sets), std::vector<int64_t>(static_cast<size_t>(shape.experts)));
+    }
+}
+
+bool LockStepGroup::admit(const EmulatedRequest &request)
+{
+    const auto least = std::ranges::min_element(ranks_, {}, [](const auto &requests) { return requests.size(); });
+    if (static_cast<int>(least->size()) >= shape_.slots) {
+        return false;
+    }
+    least->push_back({request, request.promptTokens, request.events});
+    return true;
+}
+
+double LockStepGroup::rankPart(std::vector<Running> &requests, std::vector<double> &tokens, std::vector<PassEvent> &events) const
+{
+    int writers = 0;
+    int readable = shape_.chunkTokens * shape_.stepsPerPass;
+    double read = 0.0;
+    for (Running &running : requests) {
+        if (running.tokensToRead > 0) {
+            const int now = std::min(running.tokensToRead, readable);
+            running.tokensToRead -= now;
+            readable -= now;
+            read += now;
+            tokens[static_cast<size_t>(running.request.subject)] += now;
+            if (running.tokensToRead > 0) {
+                continue;
+            }
+        }
+        ++writers;
+        --running.eventsLeft;
+        tokens[static_cast<size_t>(running.request.subject)] += static_cast<double>(shape_.stepsPerPass) * shape_.answersPerStream;
+        events.push_back({running.request.id, running.eventsLeft == 0});
+    }
+    std::erase_if(requests, [](const Running &running) { return running.eventsLeft == 0; });
+    return shape_.stepsPerPass * (shape_.stepMs + shape_.stepMsPerSequence * writers) + read / shape_.promptTokensPerMs;
+}
+
+void LockStepGroup::choose(int rank, const std::vector<double> &tokens, std::vector<std::vector<double>> &loads)
+{
+    expertmap::ExpertCounts &counts = counts_[static_cast<size_t>(rank)];
+    for (size_t subject = 0; subject < tokens.size(); ++subject) {
+        if (tokens[subject] <= 0.0) {
+            continue;
+        }
+        for (size_t set = 0; set < loads.size(); ++set) {
+            const std::vector<double> &wanted = preference_[subject][set];
+            for (size_t expert = 0; expert < wanted.size(); ++expert) {
+                const double chosen = tokens[subject] * shape_.picksPerToken * wanted[expert];
+                loads[set][expert] += chosen;
+                counts.chosen[set][expert] += std::llround(chosen);
+            }
+        }
+    }
+    counts.lastPass = passes_;
+}
+
+double LockStepGroup::skewOf(const std::vector<std::vector<double>> &loads) const
+{
+    double sum = 0.0;
+    for (size_t set = 0; set < loads.size(); ++set) {
+        const double total = std::accumulate(loads[set].begin(), loads[set].end(), 0.0);
+        if (total <= 0.0) {
+            sum += 1.0;
+            continue;
+        }
+        std::vector<int> replicas(loads[set].size());
+        for (const expertmap::RankExperts &experts : map_[set]) {
+            std::ranges::for_each(experts, [&](int expert) { ++replicas[static_cast<size_t>(expert)]; });
+        }
+        double heaviest = 0.0;
+        for (const expertmap::RankExperts &experts : map_[set]) {
+            double load = 0.0;
+            for (const int expert : experts) {
+                load += loads[set][static_cast<size_t>(expert)] / replicas[static_cast<size_t>(expert)];
+            }
+            heaviest = std::max(heaviest, load);
+        }
+        sum += heaviest * shape_.ranks / total;
+    }
+    return sum / static_cast<double>(loads.size());
+}
+
+PassResult LockStepGroup::pass()
+{
+    PassResult result;
+    ++passes_;
+    double slowest = 0.0;
+    double sum = 0.0;
+    std::vector<std::vector<double>> loads(static_cast<size_t>(shape_.sets), std::vector<double>(static_cast<size_t>(shape_.experts)));
+    for (size_t rank = 0; rank < ranks_.size(); ++rank) {
+        std::vector<double> tokens(static_cast<size_t>(shape_.subjects));
+        const double part = rankPart(ranks_[rank], tokens, result.events);
+        slowest = std::max(slowest, part);
+        sum += part;
+        choose(static_cast<int>(rank), tokens, loads);
+    }
+    result.skew = skewOf(loads);
+    // The experts' work of all ranks is spread by the map, whichever rank it comes from.
+    const double ms = (1.0 - shape_.expertShare) * slowest + shape_.expertShare * result.skew * sum / shape_.ranks;
+    result.length = Duration{static_cast<int64_t>(ms * MICROSECONDS_PER_MS)};
+    return result;
+}
+
+void LockStepGroup::shiftDemand(double part)
+{
+    for (auto &sets : preference_) {
+        for (std::vector<double> &wanted : sets) {
+            const auto moved = static_cast<size_t>(part * static_cast<double>(wanted.size()));
+            for (size_t i = 0; i < moved; ++i) {
+                std::swap(wanted[random_() % wanted.size()], wanted[random_() % wanted.size()]);
+            }
+        }
+    }
+    std::ranges::shuffle(popularity_, random_);
+}
+
+void LockStepGroup::setMap(expertmap::GroupMap map)
+{
+    map_ = std::move(map);
+}
+
+const expertmap::GroupMap &LockStepGroup::map() const
+{
+    return map_;
+}
+
+const expertmap::ExpertCounts &LockStepGroup::counts(int rank) const
+{
+    return counts_[static_cast<size_t>(rank)];
+}
+
+int LockStepGroup::running() const
+{
+    return std::accumulate(ranks_.begin(), ranks_.end(), 0, [](int sum, const auto &requests) { return sum + static_cast<int>(requests.size()); });
+}
+
+const GroupShape &LockStepGroup::shape() const
+{
+    return shape_;
+}
+
+int LockStepGroup::drawSubject()
+{
+    return std::discrete_distribution<int>(popularity_.begin(), popularity_.end())(random_);
+}
+
+} // namespace daisymount::emulator
--- /dev/null
+++ b/src/emulator/tests/emulator_tests.cpp
@@ -0,0 +1,129 @@
+// Tests of the emulated group and of what callers get under the policies.
+
+#include "emulator/experiment.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount::emulator;
+
+namespace
+{
+GroupShape evenShape()
+{
+    GroupShape shape;
+    shape.subjectSkew = 0.0;
+    return shape;
+}
+
+ExperimentResult playWith(MapPolicy policy, double requestsPerSecond, uint64_t seed)
+{
+    ExperimentOptions options;
+    options.policy = policy;
+    options.requestsPerSecond = requestsPerSecond;
+    options.seed = seed;
+    return play(options);
+}
+} // namespace
+
+TEST_GROUP(LockStepGroup){};
+
+TEST(LockStepGroup, anEvenGroupTakesItsPublishedTime)
+{
+    LockStepGroup group(evenShape(), 1);
+    for (int i = 0; i < 12; ++i) {
+        CHECK(group.admit({i, 61, 3, 0}));
+    }
+    const PassResult pass = group.pass();
+    // Five steps of one writer and 61 tokens read on each rank.
+    DOUBLES_EQUAL(5 * (5.85 + 0.355) + 61 / 61.2, pass.length.count() / 1e3, 0.1);
+    DOUBLES_EQUAL(1.0, pass.skew, 1e-6);
+    LONGS_EQUAL(12, pass.events.size());
+}
+
+TEST(LockStepGroup, aLongPromptIsReadOverSeveralPasses)
+{
+    LockStepGroup group(evenShape(), 1);
+    CHECK(group.admit({1, 512 * 5 + 1, 2, 0}));
+    CHECK(group.pass().events.empty());
+    LONGS_EQUAL(1, group.pass().events.size());
+    const PassResult last = group.pass();
+    CHECK(last.events.front().last);
+    LONGS_EQUAL(0, group.running());
+}
+
+TEST(LockStepGroup, fullRanksTakeNoMore)
+{
+    LockStepGroup group(evenShape(), 1);
+    for (int i = 0; i < 144; ++i) {
+        CHECK(group.admit({i, 10, 2, 0}));
+    }
+    CHECK_FALSE(group.admit({144, 10, 2, 0}));
+}
+
+TEST(LockStepGroup, unevenRanksLengthenThePass)
+{
+    GroupShape shape;
+    LockStepGroup group(shape, 3);
+    for (int i = 0; i < 12; ++i) {
+        CHECK(group.admit({i, 500, 3, 0}));
+    }
+    const PassResult pass = group.pass();
+    CHECK(pass.skew > 1.5);
+    const double even = 5 * (5.85 + 0.355) + 500 / 61.2;
+    DOUBLES_EQUAL(even * (0.15 + 0.85 * pass.skew), pass.length.count() / 1e3, 0.1);
+}
+
+TEST_GROUP(Experiment){};
+
+TEST(Experiment, theSameSeedPlaysTheSame)
+{
+    const ExperimentResult first = playWith(MapPolicy::Samples, 50.0, 5);
+    const ExperimentResult second = playWith(MapPolicy::Samples, 50.0, 5);
+    LONGS_EQUAL(first.onTime, second.onTime);
+    LONGS_EQUAL(first.copies, second.copies);
+    DOUBLES_EQUAL(first.meanSkew, second.meanSkew, 0.0);
+}
+
+TEST(Experiment, mapsFromSamplesServeMoreInTimeThanTheOthers)
+{
+    // Load: the cooperative's calm day with demand that shifts every three seconds.
+    int samples = 0;
+    int sums = 0;
+    int turn = 0;
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        samples += playWith(MapPolicy::Samples, 50.0, seed).onTime;
+        sums += playWith(MapPolicy::EvenSums, 50.0, seed).onTime;
+        turn += playWith(MapPolicy::InTurn, 50.0, seed).onTime;
+    }
+    CHECK(samples > sums);
+    CHECK(sums >= turn);
+}
+
+TEST(Experiment, onAnUnevenGroupFewerPlacesServeMoreInTime)
+{
+    // Load: the heavy day of the cooperative before its first map is in force.
+    int bounded = 0;
+    int unbounded = 0;
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        ExperimentOptions options;
+        options.policy = MapPolicy::InTurn;
+        options.requestsPerSecond = 60.0;
+        options.seed = seed;
+        options.admission.partOfSlots = 0.5;
+        bounded += play(options).onTime;
+        options.admission.partOfSlots = 1.0;
+        unbounded += play(options).onTime;
+    }
+    CHECK(bounded > unbounded);
+}
+
+TEST(Experiment, beyondItsPlacesTheGroupRefusesAndStaysInTime)
+{
+    ExperimentOptions options;
+    options.requestsPerSecond = 110.0;
+    options.shiftInterval = milliseconds{0};
+    const ExperimentResult result = play(options);
+    CHECK(result.refused > 0);
+    CHECK(result.onTime > 10 * result.late);
+    CHECK(result.firstP99 <= options.firstObjective);
+}
