--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -25,22 +24,13 @@
 {
     double partOfSlots = 11.0 / 12.0; ///< Of the engines' slots that fresh callers may take, over all entries; the rest is for those who
                                       ///< come back and would not come a third time.
-    double leastPartOfSlots = 0.5; ///< Stays open however long passes are: late answers are worth more than none.
     double unknownPartOfSlots = 2.0 / 3.0; ///< Of a group whose passes have not been seen: it may have formed anew, with experts in turn.
-    double partOfPause = 0.75; ///< Of the permitted pause that a mean pass may take: single passes are longer.
     double shareWhileUnknown = 1.25; ///< Of its even share of the places that one entry may take before it has seen passes.
     milliseconds longestReturningWait{1'300}; ///< Callers leave after two seconds without an event; the first one takes up to 0.6 s.
     milliseconds longestWait{110}; ///< For a place; a stream that waits this long still gets its first event in time.
     milliseconds serviceTime{2'200}; ///< That a usual stream needs once it is let in.
 };
 
-/// Published timing of a step of the engines.
-struct StepTiming
-{
-    double baseMs = 0.0;
-    double perSequenceMs = 0.0; ///< For each request that is being written; 0 when not known.
-};
-
 struct AdmissionView
 {
     int inFlight = 0; ///< Over all entries, as far as known.
@@ -48,9 +38,7 @@
     int entries = 1; ///< That take callers, this one among them.
     int engines = 0;
     int slotsPerEngine = 0;
-    StepTiming timing;
-    std::optional<Duration> passTime; ///< Mean of the last passes, as this entry's streams show it.
-    Duration pause{0}; ///< Longest that a stream of the route may have, 0 when not stated.
+    bool passesSeen = false; ///< This entry's streams have had events lately.
     bool groupDown = false; ///< The group has lost a rank and makes no passes.
     bool returning = false; ///< The caller was refused before.
     Duration waited{0};
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -50,7 +50,7 @@
 bool EngineAdmission::withinShare(const AdmissionView &view) const
 {
     // A group that opens again is filled by all entries at once, before they have heard of each other's requests.
-    return view.passTime || view.ownInFlight < std::max(1.0, options_.shareWhileUnknown * places(view) / std::max(1, view.entries));
+    return view.passesSeen || view.ownInFlight < std::max(1.0, options_.shareWhileUnknown * places(view) / std::max(1, view.entries));
 }
 
 double EngineAdmission::places(const AdmissionView &view) const
@@ -59,25 +59,11 @@
     if (view.slotsPerEngine <= 0) {
         return std::numeric_limits<double>::infinity(); // The service does not tell: the engines refuse by themselves.
     }
-    if (!view.passTime) {
+    if (!view.passesSeen) {
         return slots * options_.unknownPartOfSlots;
     }
-    const double most = slots * (view.returning ? 1.0 : options_.partOfSlots);
-    const double wanted = options_.partOfPause * static_cast<double>(view.pause.count());
-    if (wanted <= 0.0 || view.timing.perSequenceMs <= 0.0 || view.engines == 0) {
-        return most;
-    }
-    // All steps of a pass scale with the most loaded rank, so the ratio of two passes is that of their steps.
-    const double stepNow = view.timing.baseMs + view.timing.perSequenceMs * view.inFlight / view.engines;
-    const double stepWanted = stepNow * wanted / static_cast<double>(view.passTime->count());
-    const double perEngine = (stepWanted - view.timing.baseMs) / view.timing.perSequenceMs;
-    const double least = slots * options_.leastPartOfSlots;
-    const double stepAtLeast = view.timing.baseMs + view.timing.perSequenceMs * least / view.engines;
-    const double passAtLeast = static_cast<double>(view.passTime->count()) * stepAtLeast / stepNow;
-    if (passAtLeast > static_cast<double>(view.pause.count())) {
-        return most; // Fewer requests would be late as well, as with a slow engine in the group.
-    }
-    return std::clamp(perEngine * view.engines, least, most);
+    // Callers that come back do not come a third time: they may take the last slots.
+    return slots * (view.returning ? 1.0 : options_.partOfSlots);
 }
 
 milliseconds EngineAdmission::spread(milliseconds from, milliseconds to)
--- a/src/dispatch/tests/engineadmission_tests.cpp
+++ b/src/dispatch/tests/engineadmission_tests.cpp
@@ -21,9 +21,7 @@
     {
         view.engines = 12;
         view.slotsPerEngine = 12;
-        view.pause = milliseconds{120};
-        view.timing = {5.85, 0.355};
-        view.passTime = milliseconds{60};
+        view.passesSeen = true;
         view.left = std::chrono::seconds{8};
     }
 };
@@ -69,45 +67,9 @@
     CHECK(admission.decide(view).admission == Admission::Wait);
 }
 
-TEST(EngineAdmission, shortPassesLeaveAllPlacesOpen)
-{
-    view.inFlight = 12 * 11 - 1;
-    view.passTime = milliseconds{70};
-    CHECK(admission.decide(view).admission == Admission::Admit);
-}
-
-TEST(EngineAdmission, passesNearThePermittedPauseCloseTheLastPlaces)
-{
-    view.inFlight = 12 * 11 - 1;
-    view.passTime = milliseconds{110};
-    CHECK(admission.decide(view).admission == Admission::Wait);
-    view.inFlight = 12 * 6 - 1;
-    view.passTime = milliseconds{88};
-    CHECK(admission.decide(view).admission == Admission::Admit);
-}
-
-TEST(EngineAdmission, halfOfThePlacesStayOpen)
-{
-    view.inFlight = 12 * 11;
-    view.passTime = milliseconds{140};
-    CHECK(admission.decide(view).admission == Admission::Wait);
-    view.inFlight = 12 * 6 - 1;
-    view.passTime = milliseconds{118};
-    CHECK(admission.decide(view).admission == Admission::Admit);
-    view.inFlight = 12 * 6;
-    CHECK(admission.decide(view).admission == Admission::Wait);
-}
-
-TEST(EngineAdmission, passesThatNoRefusalWouldShortenEnoughCloseNoPlaces)
-{
-    view.passTime = milliseconds{300};
-    view.inFlight = 12 * 11 - 1;
-    CHECK(admission.decide(view).admission == Admission::Admit);
-}
-
 TEST(EngineAdmission, aGroupWhosePassesAreNotKnownIsFilledInPart)
 {
-    view.passTime.reset();
+    view.passesSeen = false;
     view.inFlight = 12 * 8;
     CHECK(admission.decide(view).admission == Admission::Wait);
     view.inFlight = 12 * 8 - 1;
@@ -116,14 +78,14 @@
 
 TEST(EngineAdmission, aGroupWhosePassesAreNotKnownIsFilledByEachEntryInItsShare)
 {
-    view.passTime.reset();
+    view.passesSeen = false;
     view.entries = 6;
     view.inFlight = 20;
     view.ownInFlight = 20;
     CHECK(admission.decide(view).admission == Admission::Wait);
     view.ownInFlight = 19;
     CHECK(admission.decide(view).admission == Admission::Admit);
-    view.passTime = milliseconds{60};
+    view.passesSeen = true;
     view.ownInFlight = 40;
     CHECK(admission.decide(view).admission == Admission::Admit);
 }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -172,7 +172,8 @@
     const milliseconds stated = request_.facts.deadline.value_or(milliseconds{0});
     const bool returning = context_.returning.isReturning(match_.route->name, stated, begin);
     const auto service = match_.config->services.find(service_);
-    const fleet::EngineProfile engine = service != match_.config->services.end() && service->second.engine ? *service->second.engine : fleet::EngineProfile{};
+    const bool profiled = service != match_.config->services.end() && service->second.engine;
+    const int slotsPerEngine = profiled ? service->second.engine->slots : 0;
     while (true) {
         const Instant now = framework::monotonicNow();
         const dispatch::EngineLoad load = context_.dispatcher.engineLoad(service_);
@@ -181,10 +182,9 @@
         view.ownInFlight = load.inFlight;
         view.entries = static_cast<int>(context_.peers.serving(now).size()) + 1;
         view.engines = load.usable;
-        view.slotsPerEngine = engine.slots;
-        view.timing = {engine.stepMs, engine.stepMsPerSequence};
-        view.passTime = context_.passPace.passTime(service_, now);
-        view.pause = match_.route->pauseObjective;
+        view.slotsPerEngine = slotsPerEngine;
+        const std::optional<Duration> passTime = context_.passPace.passTime(service_, now);
+        view.passesSeen = passTime.has_value();
         context_.passPace.onRequests(service_, load.inFlight, now);
         view.groupDown = context_.peers.groupDown(service_, now) || context_.passPace.stalled(service_, now);
         view.returning = returning;
@@ -201,7 +201,7 @@
                                  request_.facts.requestId,
                                  {{"in_flight", std::to_string(view.inFlight)},
                                   {"engines", std::to_string(view.engines)},
-                                  {"pass_ms", std::to_string(view.passTime ? toMilliseconds(*view.passTime).count() : 0)},
+                                  {"pass_ms", std::to_string(passTime ? toMilliseconds(*passTime).count() : 0)},
                                   {"group_down", view.groupDown ? "yes" : "no"},
                                   {"returning", returning ? "yes" : "no"},
                                   {"waited_ms", std::to_string(toMilliseconds(view.waited).count())},
