Cold upstreams: nobody takes a share of few before the members are known, and few entries use one where there are many

Found beside it: a full bucket holds a request at each entry, more than the bound with 42 entries. Until the registry of members has been read, or heartbeats have had 3 s, a hundred are assumed; addresses in the registry that were not heard of count; with more entries than full buckets fit into the bound a cold upstream is used by a few, chosen by hash. Tests failed first: 100 entries sent 100 of 59 allowed.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -127,12 +127,20 @@
         double firstAnswerMs = 0.0; ///< Drifting average, 0 before the first answer.
     };
 
+    /// This entry's part of what a cold upstream bears.
+    struct ColdShare
+    {
+        double perSecond = 0.0; ///< 0: there is no limit.
+        double burst = 1.0;
+        bool takesPart = true; ///< False: other entries use this upstream while it is cold.
+    };
+
     double expectedRequests(const State &state, Instant now) const;
     double cost(const State &state, double meanAnswerMs, Instant now);
     double failureRate(const State &state, Instant now) const;
     bool takeCold(State &state, Instant now);
     bool coldAllows(State &state, Instant now);
-    double coldRate(const State &state) const;
+    ColdShare coldShare(const State &state) const;
     State *find(std::string_view upstream);
 
     DispatcherOptions options_;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/dispatcher.h"
 
+#include "framework/hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -33,6 +35,10 @@
 constexpr int64_t RETRY_AFTER_SPREAD_MS = 1'200;
 /// The retry share of cold starts keeps a part back for requests that arrive bunched.
 constexpr double COLD_USED_PART = 0.8;
+/// Where only few entries use a cold upstream their number varies, so that they take less.
+constexpr double COLD_FEW_PART = 0.4;
+/// Of the entries whose full buckets the bound bears.
+constexpr double COLD_FEW_ENTRIES = 0.36;
 
 double seconds(Duration duration)
 {
@@ -261,27 +267,40 @@
     return state.failureRate * std::exp2(-seconds(now - state.failureRateAt) / FAILURE_HALF_LIFE_S);
 }
 
-double Dispatcher::coldRate(const State &state) const
+Dispatcher::ColdShare Dispatcher::coldShare(const State &state) const
 {
     const auto limit = coldPerSecond_.find(state.upstream.service);
-    return limit == coldPerSecond_.end() ? 0.0 : COLD_USED_PART * limit->second / entries_;
+    if (limit == coldPerSecond_.end()) {
+        return {};
+    }
+    // Any second may begin with a full bucket at every entry, which holds one request at least.
+    const double fullBuckets = (options_.coldOvershoot - COLD_USED_PART) * limit->second + options_.coldSlack;
+    if (entries_ <= fullBuckets) {
+        return {COLD_USED_PART * limit->second / entries_, std::max(1.0, options_.coldSlack / entries_), true};
+    }
+    // More entries than that: each cold upstream is used by a few of them.
+    const double few = std::max(1.0, COLD_FEW_ENTRIES * fullBuckets);
+    const uint64_t draw = framework::hash64(state.upstream.id, options_.seed) % static_cast<uint64_t>(entries_);
+    return {COLD_FEW_PART * limit->second / few, 1.0, static_cast<double>(draw) < few};
 }
 
 bool Dispatcher::coldAllows(State &state, Instant now)
 {
-    const double rate = coldRate(state);
-    if (now >= state.coldUntil || rate == 0.0) {
+    const ColdShare share = coldShare(state);
+    if (now >= state.coldUntil || share.perSecond == 0.0) {
         return true;
     }
-    const double burst = std::max(1.0, options_.coldSlack / entries_);
-    state.coldTokens = std::min(burst, state.coldTokens + rate * seconds(now - state.coldRefilled));
+    if (!share.takesPart) {
+        return false;
+    }
+    state.coldTokens = std::min(share.burst, state.coldTokens + share.perSecond * seconds(now - state.coldRefilled));
     state.coldRefilled = now;
     return state.coldTokens >= 1.0;
 }
 
 bool Dispatcher::takeCold(State &state, Instant now)
 {
-    if (now < state.coldUntil && coldRate(state) > 0.0) {
+    if (now < state.coldUntil && coldShare(state).perSecond > 0.0) {
         state.coldTokens -= 1.0;
         return true;
     }
--- a/src/dispatch/tests/dispatch_tests.cpp
+++ b/src/dispatch/tests/dispatch_tests.cpp
@@ -168,6 +168,31 @@
     CHECK(sent >= 20);
 }
 
+TEST(Dispatcher, manyEntriesTogetherKeepAColdUpstreamWithinItsRate)
+{
+    // Load: a large deployment after all machines have started anew, each entry with as many callers as it likes.
+    constexpr int ENTRIES = 100;
+    constexpr double BOUND = 36.0 * 1.5 + 5.0;
+    int sum = 0;
+    for (int round = 0; round < 20; ++round) {
+        fleet({{"cold" + std::to_string(round), "h:1 1 a ready 60000", 0}});
+        int sent = 0;
+        for (int entry = 0; entry < ENTRIES; ++entry) {
+            Dispatcher one({"a", 1.5, 5.0, static_cast<uint64_t>(entry + 1)});
+            one.onFleetChange(view, now);
+            one.setEntries(ENTRIES);
+            one.place({"s", {}, true}, now);
+            for (int ms = 0; ms < 1'000; ms += 5) {
+                const Instant at = now + std::chrono::seconds{5} + milliseconds{ms};
+                sent += std::holds_alternative<Placement>(one.place({"s", {}, true}, at)) ? 1 : 0;
+            }
+        }
+        CHECK(sent <= BOUND);
+        sum += sent;
+    }
+    CHECK(sum / 20 >= 10);
+}
+
 TEST_GROUP(RetryShare)
 {
     RetryShare share{{0.2, 90.0, std::chrono::seconds{10}}};
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -308,6 +308,8 @@
                     context_.log.report({"members", "bad_registration", parsed.code, "", {{"key", item.key}}});
                 }
             }
+            context_.peers.onRegistryRead();
+            context_.dispatcher.setEntries(context_.peers.possiblyAlive(now));
         }
         co_await transport::sleepFor(pause);
         pause = std::min<milliseconds>(pause * 2, MEMBER_POLL);
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -59,6 +59,7 @@
 
 Heartbeat PeerTable::heartbeat(Instant now)
 {
+    startedAt_ = startedAt_.value_or(now);
     Heartbeat message{self_, {}};
     std::vector<const Member *> others;
     for (const auto &[name, member] : members_) {
@@ -149,10 +150,17 @@
         || std::ranges::any_of(members_, [&](const auto &entry) { return now - entry.second.heardAt <= options_.aliveWithin && tells(entry.second.peer); });
 }
 
+void PeerTable::onRegistryRead()
+{
+    registryRead_ = true;
+}
+
 int PeerTable::possiblyAlive(Instant now) const
 {
     const auto alive = std::ranges::count_if(members_, [&](const auto &entry) { return now - entry.second.heardAt <= options_.forgetAfter; });
-    return static_cast<int>(alive) + 1;
+    const int known = static_cast<int>(alive) + static_cast<int>(addresses_.size()) + 1;
+    const bool met = registryRead_ || (startedAt_ && now - *startedAt_ >= options_.meetWithin);
+    return met ? known : std::max(known, options_.unknownMembers);
 }
 
 std::optional<Peer> PeerTable::bestInformed(const KnownRevisions &known, Instant now) const
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -21,6 +21,8 @@
     size_t zoneFanout = 16; ///< Members of the own zone that get a heartbeat in one round; those bytes cost nothing.
     size_t farFanout = 4; ///< Members of other zones.
     Duration readerFresh = milliseconds{900}; ///< Age up to which another member's reading of the store may be relied on.
+    Duration meetWithin = framework::seconds{3}; ///< From the first sign of the process; by then heartbeats have told of all members.
+    int unknownMembers = 100; ///< Assumed before anything is known.
     size_t rumours = 10; ///< Members that one heartbeat tells of.
     uint64_t seed = 1;
 };
@@ -53,7 +55,10 @@
     std::optional<Peer> zoneReader(Instant now) const;
     /// True when the map controller, this gateway or another one, tells that the service's rank group makes no passes.
     bool groupDown(std::string_view service, Instant now) const;
-    /// Members that may be alive, this gateway among them.
+    /// The store's registry of members has been read and all its addresses were learnt.
+    void onRegistryRead();
+    /// Members that may be alive, this gateway among them. Many until the registry has been read or heartbeats have had time to come: after
+    /// all machines have started anew nobody may take more than its share of what cold upstreams bear.
     int possiblyAlive(Instant now) const;
     /// The live member that knows most of the upstreams, zones or configuration beyond @p known.
     std::optional<Peer> bestInformed(const KnownRevisions &known, Instant now) const;
@@ -73,6 +78,8 @@
     PeerTableOptions options_;
     std::map<std::string, Member, std::less<>> members_; ///< By name, never this gateway.
     std::map<std::string, Instant, std::less<>> addresses_; ///< IPs whose gateway has not been heard of, and since when.
+    std::optional<Instant> startedAt_; ///< Of the first round of heartbeats.
+    bool registryRead_ = false;
     std::minstd_rand random_;
 };
 
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -29,6 +29,11 @@
 TEST_GROUP(PeerTable)
 {
     PeerTable table{peer("1"), {}};
+
+    void setup() override
+    {
+        table.onRegistryRead();
+    }
 };
 
 TEST(PeerTable, aSilentPeerIsNotNamedButStillCounted)
@@ -42,6 +47,26 @@
     LONGS_EQUAL(1, table.possiblyAlive(START + std::chrono::seconds{30}));
 }
 
+TEST(PeerTable, beforeTheRegistryIsReadManyMayBeAlive)
+{
+    PeerTable fresh{peer("1"), {}};
+    CHECK(fresh.possiblyAlive(START) >= 100);
+    fresh.learnAddress("10.0.0.2", START);
+    fresh.learnAddress("10.0.0.3", START);
+    fresh.onRegistryRead();
+    LONGS_EQUAL(3, fresh.possiblyAlive(START));
+    fresh.onHeartbeat({peer("2"), {}}, START);
+    LONGS_EQUAL(3, fresh.possiblyAlive(START));
+}
+
+TEST(PeerTable, withoutARegistryHeartbeatsTellAfterAWhile)
+{
+    PeerTable fresh{peer("1"), {}};
+    fresh.heartbeat(START);
+    CHECK(fresh.possiblyAlive(START + std::chrono::seconds{2}) >= 100);
+    LONGS_EQUAL(1, fresh.possiblyAlive(START + std::chrono::seconds{3}));
+}
+
 TEST(PeerTable, aRumourKeepsAPeerAliveOnlyByItsAge)
 {
     table.onHeartbeat({peer("2"), {{peer("3"), milliseconds{1'000}}}}, START);
