--- a/src/emulator/internal/experiment.cpp
+++ b/src/emulator/internal/experiment.cpp
@@ -259,9 +259,6 @@
         if (!pass.events.empty()) {
             skewSum += pass.skew;
             ++busyPasses;
-            passTime = passTime
-                ? Duration{static_cast<int64_t>(std::lerp(static_cast<double>(passTime->count()), static_cast<double>(pass.length.count()), PASS_WEIGHT))}
-                : pass.length;
         }
         callers.deliver(pass, now, result);
         maps.step(now, result);
--- a/src/emulator/internal/lockstepgroup.cpp
+++ b/src/emulator/internal/lockstepgroup.cpp
@@ -40,6 +40,7 @@
     , counts_(static_cast<size_t>(shape.ranks))
 {
     std::vector<std::vector<double>> common;
+    common.reserve(static_cast<size_t>(shape.sets));
     for (int set = 0; set < shape.sets; ++set) {
         common.push_back(drawWeights(shape.experts, shape.subjectSkew, random_));
     }
