--- /dev/null
+++ b/src/gateway/tests/crashingrequest_tests.cpp
@@ -0,0 +1,115 @@
+// Tests over loopback of requests that crash each upstream that begins them and come again at any gateway.
+
+#include "fleetfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount;
+using namespace daisymount::gateway;
+using namespace daisymount::gateway::tests;
+
+namespace
+{
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *CONFIG = R"({"version":1,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/safe/","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
+ {"name":"unsafe","host":"a.example","prefix":"/unsafe/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"plain","max_attempts":2,"public":true,"resumable":true}],
+ "services":[{"name":"plain","health_path":"/h","max_connections":100,"cold_start_s":0,"cold_per_s":0}],
+ "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":2000},"tenants":[]})";
+
+/// From then on gateways that are in touch may send the request on this many times more.
+constexpr milliseconds CONTACT{3'000};
+constexpr long SENT_AFTER_CONTACT = 3;
+constexpr size_t CRASHES_TO_CONVICT = 3;
+constexpr milliseconds REPEAT_INTERVAL{250};
+constexpr size_t GATEWAYS = 4;
+constexpr size_t UPSTREAMS = 6;
+const std::string CRASHING_BODY = "crash";
+
+std::string request(const std::string &path, const std::string &body)
+{
+    static int number = 0;
+    return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r" + std::to_string(++number)
+        + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool isQuarantined(const CallerResult &result)
+{
+    return result.body.find("Quarantined") != std::string::npos;
+}
+} // namespace
+
+TEST_GROUP(CrashingRequest)
+{
+    FleetWorld *world = nullptr;
+    size_t arrivals = 0;
+    std::vector<framework::Instant> arrivedAt;
+    int soundSent = 0;
+    int soundServed = 0;
+    int soundQuarantined = 0;
+
+    void setup() override
+    {
+        static auto &worlds = *new std::vector<FleetWorld *>;
+        worlds.push_back(new FleetWorld(CONFIG, "plain", UPSTREAMS, [this](const ReceivedRequest &received) {
+            if (received.body != CRASHING_BODY) {
+                return false;
+            }
+            arrivedAt.push_back(framework::monotonicNow());
+            return true;
+        }));
+        world = worlds.back();
+        for (size_t i = 0; i < GATEWAYS; ++i) {
+            world->addGateway();
+        }
+        world->run(seconds{1});
+    }
+
+    /// Callers send sound requests and one the crashing request, until well after the third crash.
+    void play(const std::string &path)
+    {
+        const framework::Instant end = framework::monotonicNow() + CONTACT + seconds{4};
+        while (framework::monotonicNow() < end) {
+            world->send(request(path, CRASHING_BODY), [](const CallerResult &) {});
+            ++soundSent;
+            world->send(request(path, "sound " + std::to_string(soundSent)), [this](const CallerResult &result) {
+                soundServed += result.status == 200 ? 1 : 0;
+                soundQuarantined += isQuarantined(result) ? 1 : 0;
+            });
+            world->run(REPEAT_INTERVAL);
+        }
+    }
+
+    void checkSentOnNoMore() const
+    {
+        const std::vector<framework::Instant> crashes = world->crashes();
+        CHECK(crashes.size() >= CRASHES_TO_CONVICT);
+        const framework::Instant from = crashes[CRASHES_TO_CONVICT - 1] + CONTACT;
+        const auto later = std::ranges::count_if(arrivedAt, [from](framework::Instant at) { return at > from; });
+        CHECK_TRUE_TEXT(later <= SENT_AFTER_CONTACT, ("sent " + std::to_string(later) + " times more, " + std::to_string(crashes.size()) + " crashes").c_str());
+    }
+};
+
+TEST(CrashingRequest, thatMayBeRepeatedIsNotSentOnByAnyGateway)
+{
+    play("/safe/x");
+    checkSentOnNoMore();
+    LONGS_EQUAL(0, soundQuarantined);
+}
+
+TEST(CrashingRequest, thatMustNotRunTwiceIsNotSentOnByAnyGateway)
+{
+    play("/unsafe/x");
+    checkSentOnNoMore();
+    LONGS_EQUAL(0, soundQuarantined);
+}
+
+TEST(CrashingRequest, thatAsksForAStreamIsNotSentOnByAnyGateway)
+{
+    play("/stream/x");
+    checkSentOnNoMore();
+    LONGS_EQUAL(0, soundQuarantined);
+}
