A request that crashes its upstreams is found by all gateways together and refused

What callers saw: a request under which three upstreams had ended was sent on; each arrival ended another one, and its neighbours' streams with it. Cause: what bounds repeats lived in one exchange. Such a request comes again as a new attempt with a new id at any gateway, so every gateway began from nothing. Class of fault: a bound on repeats kept where only a part of the repeats passes.

Why it works: an upstream that breaks off a request is looked at once (a refused connection, or the end of its registration, counts as a crash; an accepted one, a planned leave or silence does not). Gateways tell each other which fingerprints were under way at which incarnation, in messages of their own beside the heartbeats, none while nothing crashes. From three crashes one after the other a request is convicted for ten minutes and refused at once with 503, which is true of that attempt, and a Retry-After as long as the conviction. What ran beside it is cleared by an answer, by the conviction that explains the crash, and by crashes of several upstreams at once (loss of power). Evidence is a growing set and the latest answer: any order, loss and repetition of messages gives the same verdicts. Property test: 200 seeds of 7 entries and 3 of 149 with 3 in 10 messages lost, delays, restarts and losses of power: convicted everywhere within 3 s, no other request ever.

Ruled out: the quarantine core of the sidecars, which takes one report a crash from somebody who sees all requests of an upstream and convicts only what ran alone. A short refusal until verdicts settle (tried): it refused sound requests after losses of power in the property test. Rows added to the heartbeat: older gateways would drop the whole message during a rolling update.

--- a/src/crashattribution/crashtypes.h
+++ b/src/crashattribution/crashtypes.h
@@ -44,4 +44,40 @@
     auto operator<=>(const UpstreamIncarnation &) const = default;
 };
 
+/// A request was under way at an incarnation, without an answer, when that crashed.
+struct CrashSighting
+{
+    Fingerprint fingerprint = 0;
+    UpstreamIncarnation incarnation;
+    milliseconds age{0}; ///< Since the crash.
+    milliseconds underWay{0}; ///< From the sending of the request to the crash.
+};
+
+/// An upstream has answered the request: it does not crash what runs it.
+struct Clearance
+{
+    Fingerprint fingerprint = 0;
+    milliseconds age{0}; ///< Since the answer.
+};
+
+/// The request counts as the cause of several crashes and is refused.
+struct Conviction
+{
+    Fingerprint fingerprint = 0;
+    milliseconds age{0}; ///< Since the conviction.
+};
+
+/// What one entry tells the others. They may get it twice, late and in any order.
+struct CrashNews
+{
+    std::vector<CrashSighting> sightings;
+    std::vector<Clearance> clearances;
+    std::vector<Conviction> convictions;
+
+    bool empty() const
+    {
+        return sightings.empty() && clearances.empty() && convictions.empty();
+    }
+};
+
 } // namespace daisymount::crashattribution
--- /dev/null
+++ b/src/crashattribution/tests/crashattribution_tests.cpp
@@ -0,0 +1,436 @@
+// Tests of the core with a virtual clock, and a property test of many entries whose news is lost, repeated and reordered.
+
+#include "crashattribution/crashattribution.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount;
+using namespace daisymount::crashattribution;
+
+namespace
+{
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Fingerprint CRASHER = 1;
+constexpr Fingerprint SOUND = 2;
+constexpr milliseconds WORK{20};
+/// Old enough to be judged.
+constexpr milliseconds SETTLED{1'000};
+
+UpstreamIncarnation upstream(int number, int64_t born = 1)
+{
+    return {"u" + std::to_string(number), born};
+}
+} // namespace
+
+TEST_GROUP(CrashAttribution)
+{
+    CrashAttribution core{{}};
+    Instant now = seconds{1'000};
+
+    void crash(std::vector<Fingerprint> underWay, const UpstreamIncarnation &incarnation)
+    {
+        for (const Fingerprint fingerprint : underWay) {
+            core.onCrash(fingerprint, incarnation, now - WORK, now, now);
+        }
+        now += seconds{1};
+    }
+
+    void settle()
+    {
+        now += SETTLED;
+        core.judge(now);
+    }
+
+    Standing standing(Fingerprint fingerprint) const
+    {
+        return core.standing(fingerprint, now);
+    }
+};
+
+TEST(CrashAttribution, aRequestUnderWayAtThreeCrashesIsConvicted)
+{
+    crash({CRASHER}, upstream(1));
+    CHECK(standing(CRASHER) == Standing::Clear);
+    crash({CRASHER}, upstream(2));
+    settle();
+    CHECK(standing(CRASHER) == Standing::Suspect);
+    crash({CRASHER}, upstream(3));
+    settle();
+    CHECK(standing(CRASHER) == Standing::Convicted);
+    CHECK(core.refusedFor(CRASHER, now) > minutes{9});
+}
+
+TEST(CrashAttribution, anIncarnationCrashesOnce)
+{
+    for (int i = 0; i < 5; ++i) {
+        crash({CRASHER}, upstream(1));
+    }
+    settle();
+    LONGS_EQUAL(1, core.crashes(CRASHER, now));
+}
+
+TEST(CrashAttribution, theSameUpstreamMayCrashAgainInItsNextLife)
+{
+    for (int born = 1; born <= 3; ++born) {
+        crash({CRASHER}, upstream(1, born));
+    }
+    settle();
+    CHECK(standing(CRASHER) == Standing::Convicted);
+}
+
+TEST(CrashAttribution, crashesWithOneCommonCauseCountOnce)
+{
+    for (int i = 0; i < 10; ++i) {
+        core.onCrash(SOUND, upstream(i), now - WORK, now + milliseconds{i}, now);
+    }
+    settle();
+    LONGS_EQUAL(1, core.crashes(SOUND, now));
+    CHECK(standing(SOUND) == Standing::Clear);
+}
+
+TEST(CrashAttribution, aRequestUnderWayAtEachLossOfPowerIsNotConvicted)
+{
+    for (int round = 0; round < 6; ++round) {
+        for (int i = 0; i < 4; ++i) {
+            const Fingerprint fingerprint = 100 + static_cast<Fingerprint>(i);
+            core.onCrash(fingerprint, upstream(i, round), now - WORK, now + milliseconds{i * 30}, now);
+        }
+        now += seconds{2};
+        core.judge(now);
+    }
+    for (Fingerprint fingerprint = 100; fingerprint < 104; ++fingerprint) {
+        CHECK(standing(fingerprint) == Standing::Clear);
+    }
+}
+
+TEST(CrashAttribution, aRequestThatCrashesSeveralUpstreamsAtOnceIsConvicted)
+{
+    for (int round = 0; round < 3; ++round) {
+        for (int i = 0; i < 4; ++i) {
+            core.onCrash(CRASHER, upstream(i, round), now - WORK, now, now);
+        }
+        now += seconds{2};
+        core.judge(now);
+    }
+    CHECK(standing(CRASHER) == Standing::Convicted);
+}
+
+TEST(CrashAttribution, repeatsWithinOneExchangeAreCrashesOneAfterTheOther)
+{
+    for (int i = 0; i < 3; ++i) {
+        core.onCrash(CRASHER, upstream(i), now, now + milliseconds{2}, now);
+        now += milliseconds{3};
+    }
+    LONGS_EQUAL(3, core.crashes(CRASHER, now));
+}
+
+TEST(CrashAttribution, anAnswerClears)
+{
+    crash({SOUND}, upstream(1));
+    crash({SOUND}, upstream(2));
+    CHECK_TRUE(core.onAnswered(SOUND, now));
+    now += milliseconds{1};
+    crash({SOUND}, upstream(3));
+    settle();
+    CHECK(standing(SOUND) == Standing::Clear);
+    LONGS_EQUAL(1, core.crashes(SOUND, now));
+}
+
+TEST(CrashAttribution, anAnswerAfterTheConvictionLiftsIt)
+{
+    for (int i = 0; i < 3; ++i) {
+        crash({SOUND}, upstream(i));
+    }
+    settle();
+    CHECK(standing(SOUND) == Standing::Convicted);
+    now += seconds{1};
+    core.onAnswered(SOUND, now);
+    CHECK(standing(SOUND) == Standing::Clear);
+}
+
+TEST(CrashAttribution, neighboursInEachBatchAreNotConvictedWithTheCause)
+{
+    crash({CRASHER, SOUND}, upstream(1));
+    crash({CRASHER, SOUND}, upstream(2));
+    crash({CRASHER, SOUND}, upstream(3));
+    settle();
+    // Nothing tells them apart yet.
+    CHECK(standing(CRASHER) != Standing::Convicted);
+    CHECK(standing(SOUND) != Standing::Convicted);
+    crash({CRASHER}, upstream(4));
+    settle();
+    CHECK(standing(CRASHER) == Standing::Convicted);
+    CHECK(standing(SOUND) == Standing::Clear);
+    LONGS_EQUAL(0, core.crashes(SOUND, now));
+}
+
+TEST(CrashAttribution, twoThatAlwaysCrashTogetherAreBothConvictedInTheEnd)
+{
+    for (int i = 0; i < 5; ++i) {
+        crash({CRASHER, SOUND}, upstream(i));
+    }
+    settle();
+    CHECK(standing(CRASHER) == Standing::Convicted);
+    CHECK(standing(SOUND) == Standing::Convicted);
+}
+
+TEST(CrashAttribution, untilOthersHaveBeenHeardNobodyIsConvicted)
+{
+    for (int i = 0; i < 3; ++i) {
+        crash({CRASHER}, upstream(i));
+    }
+    now -= seconds{1};
+    core.judge(now);
+    CHECK(standing(CRASHER) == Standing::Suspect);
+}
+
+TEST(CrashAttribution, crashesAreForgotten)
+{
+    crash({CRASHER}, upstream(1));
+    crash({CRASHER}, upstream(2));
+    now += minutes{11};
+    crash({CRASHER}, upstream(3));
+    settle();
+    LONGS_EQUAL(1, core.crashes(CRASHER, now));
+    now += minutes{11};
+    core.judge(now);
+    LONGS_EQUAL(0, core.suspects());
+}
+
+TEST(CrashAttribution, aConvictionEndsThoughEntriesTellEachOther)
+{
+    CrashAttribution other{{}};
+    for (int i = 0; i < 3; ++i) {
+        crash({CRASHER}, upstream(i));
+    }
+    settle();
+    for (int round = 0; round < 900; ++round) {
+        now += seconds{1};
+        // Each message takes a while, so that the receiver believes in a later moment.
+        other.merge(core.toTell(now), now + milliseconds{200});
+        core.merge(other.toTell(now), now + milliseconds{200});
+        core.judge(now);
+        other.judge(now);
+    }
+    CHECK(standing(CRASHER) == Standing::Clear);
+    CHECK(other.standing(CRASHER, now) == Standing::Clear);
+}
+
+TEST(CrashAttribution, anEntryThatStartsLearnsConvictionsAndStandingEvidence)
+{
+    CrashAttribution started{{}};
+    for (int i = 0; i < 3; ++i) {
+        crash({CRASHER}, upstream(i));
+    }
+    crash({SOUND}, upstream(7));
+    crash({SOUND}, upstream(8));
+    now += minutes{1};
+    core.judge(now);
+    LONGS_EQUAL(1, started.merge(core.toTell(now), now).size());
+    CHECK(started.standing(CRASHER, now) == Standing::Convicted);
+    CHECK(started.standing(SOUND, now) == Standing::Suspect);
+}
+
+TEST(CrashAttribution, stateAndMessagesAreBounded)
+{
+    for (Fingerprint fingerprint = 100; fingerprint < 6'000; ++fingerprint) {
+        core.onCrash(fingerprint, upstream(static_cast<int>(fingerprint)), now - WORK, now, now);
+    }
+    for (int i = 0; i < 20; ++i) {
+        crash({CRASHER}, upstream(i));
+    }
+    CHECK(core.suspects() <= CrashAttributionOptions().mostSuspects);
+    const CrashNews news = core.toTell(now);
+    CHECK(news.sightings.size() <= CrashAttributionOptions().mostTold);
+    settle();
+    CHECK(standing(CRASHER) == Standing::Convicted);
+}
+
+namespace
+{
+constexpr milliseconds ROUND{300};
+constexpr milliseconds CONTACT{3'000};
+constexpr double LOST = 0.3;
+constexpr double TWICE = 0.2;
+constexpr milliseconds TICK{100};
+constexpr int LONGEST_WAY_TICKS = 3;
+
+/// Entries that see crashes each for itself and tell some others each round. Messages are lost, come twice, late and out of order.
+class EntryWorld
+{
+public:
+    EntryWorld(size_t entries, size_t fanout, uint64_t seed) : fanout_(fanout), random_(static_cast<unsigned>(seed))
+    {
+        for (size_t i = 0; i < entries; ++i) {
+            entries_.emplace_back(CrashAttributionOptions{.seed = seed + i});
+        }
+    }
+
+    /// The upstream crashes beneath these requests, each of which some entry had sent there.
+    void crash(const std::vector<Fingerprint> &underWay, const UpstreamIncarnation &incarnation)
+    {
+        for (const Fingerprint fingerprint : underWay) {
+            anyEntry().onCrash(fingerprint, incarnation, now - WORK, now, now);
+        }
+    }
+
+    void answer(Fingerprint fingerprint)
+    {
+        anyEntry().onAnswered(fingerprint, now);
+    }
+
+    void restartOne()
+    {
+        entries_[random_() % entries_.size()] = CrashAttribution(CrashAttributionOptions{.seed = random_()});
+    }
+
+    void round()
+    {
+        for (CrashAttribution &entry : entries_) {
+            const CrashNews news = entry.toTell(now);
+            for (size_t i = 0; i < fanout_ && !news.empty(); ++i) {
+                const int copies = (chance(LOST) ? 0 : 1) + (chance(TWICE) ? 1 : 0);
+                for (int copy = 0; copy < copies; ++copy) {
+                    const Instant due = now + TICK * (random_() % (LONGEST_WAY_TICKS + 1));
+                    onTheWay_.push_back({random_() % entries_.size(), due, news});
+                }
+            }
+        }
+        for (const Instant end = now + ROUND; now < end; now += TICK) {
+            deliver();
+        }
+        for (CrashAttribution &entry : entries_) {
+            entry.judge(now);
+        }
+    }
+
+    size_t convictedAt(Fingerprint fingerprint) const
+    {
+        return static_cast<size_t>(
+            std::ranges::count_if(entries_, [&](const CrashAttribution &entry) { return entry.standing(fingerprint, now) == Standing::Convicted; }));
+    }
+
+    CrashAttribution &anyEntry()
+    {
+        return entries_[random_() % entries_.size()];
+    }
+
+    bool chance(double probability)
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < probability;
+    }
+
+    std::minstd_rand &random()
+    {
+        return random_;
+    }
+
+    Instant now = seconds{1'000};
+
+private:
+    void deliver()
+    {
+        std::ranges::shuffle(onTheWay_, random_);
+        for (const Message &message : onTheWay_) {
+            if (message.due <= now) {
+                entries_[message.to].merge(message.news, now);
+            }
+        }
+        std::erase_if(onTheWay_, [this](const Message &message) { return message.due <= now; });
+    }
+
+    struct Message
+    {
+        size_t to = 0;
+        Instant due{0};
+        CrashNews news;
+    };
+
+    size_t fanout_;
+    std::minstd_rand random_;
+    std::vector<CrashAttribution> entries_;
+    std::vector<Message> onTheWay_;
+};
+
+/// Three crashes by one request, each beside other requests of which some are sent again beside it once; then until the contact bound.
+/// Returns at how many entries the cause is convicted. No other request may ever be refused.
+size_t convictedWithinContact(size_t entries, size_t fanout, uint64_t seed)
+{
+    EntryWorld world(entries, fanout, seed);
+    Fingerprint next = 100;
+    std::vector<Fingerprint> sound;
+    Fingerprint companion = next++;
+    for (int i = 0; i < 3; ++i) {
+        std::vector<Fingerprint> underWay{CRASHER, companion};
+        for (int neighbour = 0; neighbour < 10; ++neighbour) {
+            underWay.push_back(next++);
+        }
+        world.crash(underWay, upstream(i));
+        sound.insert(sound.end(), underWay.begin() + 1, underWay.end());
+        for (const Fingerprint fingerprint : underWay) {
+            if (fingerprint != CRASHER && fingerprint != companion && world.chance(0.7)) {
+                world.answer(fingerprint);
+            }
+        }
+        if (i == 1) {
+            companion = next++;
+        }
+        for (size_t round = 0; round < 1 + world.random()() % 8; ++round) {
+            world.round();
+            if (!world.chance(0.3)) {
+                continue;
+            }
+            // An upstream crashes for another reason.
+            world.crash({next, next + 1}, upstream(50 + static_cast<int>(next)));
+            sound.insert(sound.end(), {next, next + 1});
+            next += 2;
+        }
+        // Power goes while requests that are sent again each time are under way.
+        world.round();
+        world.round();
+        for (int lost = 0; lost < 5; ++lost) {
+            world.crash({static_cast<Fingerprint>(10 + lost), static_cast<Fingerprint>(20 + lost)}, upstream(40 + lost, i));
+            sound.insert(sound.end(), {static_cast<Fingerprint>(10 + lost), static_cast<Fingerprint>(20 + lost)});
+        }
+        world.round();
+        world.round();
+    }
+    const Instant end = world.now + CONTACT;
+    while (world.now < end) {
+        world.round();
+        if (world.chance(0.1)) {
+            world.restartOne();
+        }
+        for (const Fingerprint fingerprint : sound) {
+            LONGS_EQUAL(0, world.convictedAt(fingerprint));
+        }
+    }
+    // An entry that has started in the last rounds is not in touch yet.
+    world.round();
+    world.round();
+    return world.convictedAt(CRASHER);
+}
+} // namespace
+
+TEST(CrashAttribution, sevenEntriesConvictWithinTheContactBoundAndNeverASoundRequest)
+{
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        LONGS_EQUAL(7, convictedWithinContact(7, 6, seed));
+    }
+}
+
+TEST(CrashAttribution, aLargeFleetConvictsWithinTheContactBoundAndNeverASoundRequest)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        LONGS_EQUAL(149, convictedWithinContact(149, 16, seed));
+    }
+}
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -117,6 +117,11 @@
     /// goes elsewhere.
     bool mayStillSend(std::string_view upstream, Instant now) const;
 
+    /// The incarnation is registered as ready, in a zone that is in service, and has not said that it leaves.
+    bool isServing(std::string_view upstream, int64_t bornMs) const;
+    /// The incarnation has said, to this entry or another one, that it leaves, or is registered so.
+    bool isLeaving(std::string_view upstream, int64_t bornMs) const;
+
     /// Requests of this entry at @p upstream.
     int inFlight(std::string_view upstream) const;
     bool hasEngines(std::string_view service) const;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -266,6 +266,19 @@
     return now >= state.pausedUntil && !notices_.isLeaving(upstream, state.upstream.bornMs);
 }
 
+bool Dispatcher::isServing(std::string_view upstream, int64_t bornMs) const
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && found->second.upstream.bornMs == bornMs && found->second.usable;
+}
+
+bool Dispatcher::isLeaving(std::string_view upstream, int64_t bornMs) const
+{
+    const auto found = states_.find(upstream);
+    const bool registeredSo = found != states_.end() && found->second.upstream.bornMs == bornMs && found->second.upstream.state != fleet::UpstreamState::Ready;
+    return registeredSo || notices_.isLeaving(upstream, bornMs);
+}
+
 std::vector<std::pair<std::string, int>> Dispatcher::inFlightByService() const
 {
     std::map<std::string, int, std::less<>> counts;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,7 @@
         Instant startedAt{0};
         Instant patienceEnd{0}; ///< Without the head of an answer until then another upstream is tried.
         Duration firstAnswer{0};
+        Instant firstEventAt{0}; ///< When the first event with content came from it, 0 before.
         Instant progressAt{0}; ///< When the upstream last brought a whole event, or the head before the first one.
     };
 
@@ -87,6 +88,10 @@
     void noteEvents(Instant now);
     void settle(Attempt &attempt, AttemptEnd end);
     bool mayTryAgain(AttemptEnd end) const;
+    /// The time to come back after, when the request counts as one that crashes its upstreams.
+    std::optional<milliseconds> quarantined(Instant now);
+    /// What an ended attempt says of whether the request crashes its upstreams.
+    void noteCrashEvidence(const Attempt &attempt, AttemptEnd end, Instant now);
     /// Takes one repeat of the service's budget. False when this gateway's share is spent.
     bool takeRepeat(Instant now);
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -2,12 +2,14 @@
 
 #pragma once
 
+#include "crashattribution/crashattribution.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/engineadmission.h"
 #include "dispatch/passpace.h"
 #include "dispatch/retryshare.h"
 #include "fleet/fleetview.h"
 #include "fleet/nodesettings.h"
+#include "gateway/crashwatch.h"
 #include "gateway/gatewaylog.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/upstreampool.h"
@@ -32,6 +34,8 @@
     UpstreamPool pool;
     transport::HttpCaller caller;
     peers::PeerTable peers;
+    crashattribution::CrashAttribution crashes;
+    CrashWatch crashWatch;
     GatewayLog log;
     GatewayMetrics metrics;
     std::mt19937 random;
--- /dev/null
+++ b/src/gateway/internal/crashwatch.cpp
@@ -0,0 +1,112 @@
+// One connection attempt to a suspected upstream, then its registration.
+
+#include "gateway/crashwatch.h"
+
+#include "gateway/gatewaycontext.h"
+#include "gateway/internal/exchangecommon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <string_view>
+
+namespace daisymount::gateway
+{
+
+namespace
+{
+namespace asio = transport::asio;
+using framework::ResultCode;
+
+/// By then a process that ends has also closed the socket that it listens at.
+constexpr milliseconds CONNECT_DELAY{100};
+constexpr milliseconds CONNECT_PATIENCE{350};
+/// Registrations end after three missed heartbeats, and the list of upstreams is up to a second old.
+constexpr milliseconds REGISTRATION_WAIT{6'000};
+constexpr milliseconds REGISTRATION_POLL{250};
+} // namespace
+
+CrashWatch::CrashWatch(GatewayContext &context) : context_(context)
+{ }
+
+void CrashWatch::onBroken(const dispatch::Placement &placement, BrokenAttempt attempt)
+{
+    if (!context_.dispatcher.isServing(placement.upstream, placement.bornMs)) {
+        return;
+    }
+    std::vector<BrokenAttempt> &attempts = pending_[{placement.upstream, placement.bornMs}];
+    attempts.push_back(std::move(attempt));
+    if (attempts.size() == 1) {
+        asio::co_spawn(context_.executor, examine(placement), asio::detached);
+    }
+}
+
+asio::awaitable<void> CrashWatch::examine(dispatch::Placement placement)
+{
+    const Evidence evidence = co_await findEvidence(placement);
+    const crashattribution::UpstreamIncarnation incarnation{placement.upstream, placement.bornMs};
+    const std::vector<BrokenAttempt> attempts = std::move(pending_[incarnation]);
+    pending_.erase(incarnation);
+    if (evidence == Evidence::Refuses || evidence == Evidence::Unregistered) {
+        onCrash(incarnation, evidence, attempts);
+    }
+}
+
+asio::awaitable<CrashWatch::Evidence> CrashWatch::findEvidence(const dispatch::Placement &placement)
+{
+    co_await transport::sleepFor(CONNECT_DELAY);
+    const auto endpoint = transport::parseEndpoint(placement.address);
+    if (endpoint) {
+        transport::ConnectOutcome outcome = co_await transport::tryConnect(context_.executor, *endpoint, CONNECT_PATIENCE);
+        if (outcome.connection) {
+            context_.pool.give(placement, std::move(outcome.connection));
+            co_return Evidence::Alive;
+        }
+        // One that has said meanwhile that it leaves may have ended as planned.
+        if (outcome.refused) {
+            co_return context_.dispatcher.isLeaving(placement.upstream, placement.bornMs) ? Evidence::None : Evidence::Refuses;
+        }
+    }
+    const Instant end = framework::monotonicNow() + REGISTRATION_WAIT;
+    while (framework::monotonicNow() < end) {
+        if (context_.dispatcher.isLeaving(placement.upstream, placement.bornMs)) {
+            break;
+        }
+        const auto known = context_.view.upstreams().find(placement.upstream);
+        if (known == context_.view.upstreams().end() || known->second.upstream.bornMs != placement.bornMs) {
+            co_return Evidence::Unregistered;
+        }
+        co_await transport::sleepFor(REGISTRATION_POLL);
+    }
+    co_return Evidence::None;
+}
+
+void CrashWatch::onCrash(const crashattribution::UpstreamIncarnation &incarnation, Evidence evidence, const std::vector<BrokenAttempt> &attempts)
+{
+    const Instant now = framework::monotonicNow();
+    context_.metrics.onCrash("upstream_crashed");
+    context_.log.report({"crashes",
+                         "upstream_crashed",
+                         ResultCode::UpstreamFailed,
+                         "",
+                         {{"upstream", incarnation.upstream},
+                          {"born_ms", std::to_string(incarnation.bornMs)},
+                          {"evidence", evidence == Evidence::Refuses ? "refuses_connections" : "unregistered"},
+                          {"requests", std::to_string(attempts.size())},
+                          {"age_ms", std::to_string(toMilliseconds(now - attempts.front().brokenAt).count())}}});
+    for (const BrokenAttempt &attempt : attempts) {
+        context_.crashes.onCrash(attempt.fingerprint, incarnation, attempt.sentAt, attempt.brokenAt, now);
+        context_.metrics.onCrash("suspected");
+        context_.log.report({"crashes",
+                             "suspected",
+                             ResultCode::UpstreamFailed,
+                             attempt.requestId,
+                             {{"fingerprint", crashattribution::toText(attempt.fingerprint)},
+                              {"upstream", incarnation.upstream},
+                              {"born_ms", std::to_string(incarnation.bornMs)},
+                              {"under_way_ms", std::to_string(toMilliseconds(attempt.brokenAt - attempt.sentAt).count())},
+                              {"crashes", std::to_string(context_.crashes.crashes(attempt.fingerprint, now))}}});
+    }
+}
+
+} // namespace daisymount::gateway
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -152,6 +152,9 @@
 
 asio::awaitable<bool> Exchange::serve()
 {
+    if (const std::optional<milliseconds> comeBack = quarantined(framework::monotonicNow())) {
+        co_return co_await refuse(ResultCode::Quarantined, *comeBack);
+    }
     if (context_.dispatcher.hasEngines(service_)) {
         const std::optional<milliseconds> comeBack = co_await waitForPlace();
         if (comeBack) {
@@ -172,6 +175,11 @@
             last = AttemptEnd::TimedOut;
             break;
         }
+        if (const std::optional<milliseconds> comeBack = quarantined(now)) {
+            lastCode = ResultCode::Quarantined;
+            retryAfter = *comeBack;
+            break;
+        }
         auto decision = context_.dispatcher.place({service_, tried_, sends == 0}, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sends == 0 ? refusal->code : ResultCode::UpstreamFull;
@@ -205,6 +213,23 @@
     co_return co_await endWithout(last);
 }
 
+std::optional<milliseconds> Exchange::quarantined(Instant now)
+{
+    if (context_.crashes.standing(fingerprint_, now) != crashattribution::Standing::Convicted) {
+        return std::nullopt;
+    }
+    const milliseconds comeBack = context_.crashes.refusedFor(fingerprint_, now);
+    context_.metrics.onCrash("refused");
+    context_.log.report({"crashes",
+                         "refused",
+                         ResultCode::Quarantined,
+                         request_.facts.requestId,
+                         {{"fingerprint", crashattribution::toText(fingerprint_)},
+                          {"attempts", std::to_string(tried_.size())},
+                          {"retry_after_ms", std::to_string(comeBack.count())}}});
+    return comeBack;
+}
+
 bool Exchange::takeRepeat(Instant now)
 {
     const int entries = context_.peers.possiblyAlive(now);
@@ -226,6 +251,9 @@
     case AttemptEnd::NotRun:
         return true;
     case AttemptEnd::MayHaveRun:
+        if (context_.crashes.standing(fingerprint_, framework::monotonicNow()) != crashattribution::Standing::Clear) {
+            return false;
+        }
         return match_.route->idempotent() && (!relay_.begun() || !events_.lastEventId().empty());
     case AttemptEnd::FailureAnswer:
         return match_.route->idempotent() && keptFailure_ && keptFailure_->status >= 500 && keptFailure_->status != GATEWAY_TIMEOUT;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -45,6 +45,8 @@
 /// A safe request without an answer after this multiple of its latency objective is sent to another upstream: its answer may be lost.
 constexpr int SILENCE_OBJECTIVES = 3;
 constexpr milliseconds SILENCE_MIN{500};
+/// A request that brought events for so long is not what crashes its upstream: that happens as the request begins to run.
+constexpr milliseconds RUNS_ON{1'000};
 /// A request that must not run twice uses only connections that were in use just now: an idle one may be closing.
 constexpr milliseconds UNSAFE_MAX_IDLE{2'500};
 constexpr milliseconds ANY_IDLE{60'000};
@@ -358,6 +360,7 @@
     const Instant now = framework::monotonicNow();
     if (events_.withContent() > known) {
         attempt.progressAt = now;
+        attempt.firstEventAt = attempt.firstEventAt == Instant{0} ? now : attempt.firstEventAt;
     }
     if (ready.empty()) {
         co_return true;
@@ -441,6 +444,7 @@
     if (end == AttemptEnd::TimedOut && attempt.pooled.connection) {
         mayHaveRun_ = true;
     }
+    noteCrashEvidence(attempt, end, now);
     logAttempt(attempt, end);
     if (!attempt.pooled.connection || upstream_ == nullptr) {
         return;
@@ -454,6 +458,27 @@
     }
 }
 
+void Exchange::noteCrashEvidence(const Attempt &attempt, AttemptEnd end, Instant now)
+{
+    if (end == AttemptEnd::Answered || end == AttemptEnd::FailureAnswer) {
+        if (context_.crashes.onAnswered(fingerprint_, now)) {
+            context_.metrics.onCrash("cleared");
+            context_.log.report({"crashes",
+                                 "cleared",
+                                 ResultCode::Ok,
+                                 request_.facts.requestId,
+                                 {{"fingerprint", crashattribution::toText(fingerprint_)}, {"upstream", attempt.placement.upstream}}});
+        }
+        return;
+    }
+    const bool brokenOff = end == AttemptEnd::MayHaveRun && attempt.pooled.connection && attempt.pooled.connection->readEnd() != transport::ReadEnd::Open
+        && !attempt.reader.done();
+    const bool ranOn = attempt.firstEventAt != Instant{0} && now - attempt.firstEventAt >= RUNS_ON;
+    if (brokenOff && !ranOn) {
+        context_.crashWatch.onBroken(attempt.placement, {fingerprint_, request_.facts.requestId, attempt.startedAt, now});
+    }
+}
+
 void Exchange::logAttempt(const Attempt &attempt, AttemptEnd end)
 {
     context_.log.report({"forwarding",
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -72,6 +72,8 @@
     , pool(reactor)
     , caller(reactor)
     , peers(std::move(self), {.readerFresh = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR, .seed = seed})
+    , crashes({.seed = seed})
+    , crashWatch(*this)
     , log({settings.name, settings.zone})
     , random(static_cast<unsigned>(seed))
 { }
@@ -265,6 +267,8 @@
     context_.metrics.setGauge("config_version", static_cast<double>(context_.view.config()->version));
     context_.metrics.setGauge("upstreams", static_cast<double>(context_.view.upstreams().size()));
     context_.metrics.setGauge("peers_possibly_alive", context_.peers.possiblyAlive(framework::monotonicNow()));
+    context_.metrics.setGauge("crash_suspects", static_cast<double>(context_.crashes.suspects()));
+    context_.metrics.setGauge("crash_convictions", static_cast<double>(context_.crashes.convictions(framework::monotonicNow())));
     context_.metrics.setGauge("store_reachable", store_.storeReachable() ? 1.0 : 0.0);
 }
 
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -34,6 +34,8 @@
                                                            .Register(registry);
     prometheus::Family<prometheus::Counter> &storeCalls
         = prometheus::BuildCounter().Name("daisymount_store_calls_total").Help("Calls to the platform's store by call and result.").Register(registry);
+    prometheus::Family<prometheus::Counter> &crashes
+        = prometheus::BuildCounter().Name("daisymount_crash_events_total").Help("Crashed upstreams and the requests under way there.").Register(registry);
     prometheus::Family<prometheus::Counter> &orders
         = prometheus::BuildCounter().Name("daisymount_rank_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("daisymount_state").Help("State by name.").Register(registry);
@@ -72,6 +74,11 @@
     families_->storeCalls.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
 }
 
+void GatewayMetrics::onCrash(std::string_view event)
+{
+    families_->crashes.Add({{"event", std::string(event)}}).Increment();
+}
+
 void GatewayMetrics::onOrder(std::string_view order, std::string_view outcome)
 {
     families_->orders.Add({{"order", std::string(order)}, {"outcome", std::string(outcome)}}).Increment();
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -63,14 +63,56 @@
     context_.peers.self().inFlight = context_.dispatcher.inFlightByService();
     peers::Heartbeat heartbeat = context_.peers.heartbeat(now);
     heartbeat.leaving = context_.dispatcher.leavingToTell(now);
-    const std::string message = peers::encodeHeartbeat(heartbeat);
-    for (const std::string &ip : context_.peers.targets(now)) {
+    const std::vector<std::string> targets = context_.peers.targets(now);
+    send(peers::encodeHeartbeat(heartbeat), targets);
+    const crashattribution::CrashNews news = context_.crashes.toTell(now);
+    if (!news.empty()) {
+        send(peers::encodeCrashNews(news), targets);
+    }
+}
+
+void PeerLink::send(std::string_view message, std::span<const std::string> targets)
+{
+    for (const std::string &ip : targets) {
         boost::system::error_code lost;
-        // A datagram that cannot be sent now is one lost heartbeat; the next round repeats it.
+        // A datagram that cannot be sent now is lost; the next round repeats what it told.
         socket_.send_to(asio::buffer(message), peerEndpoint(ip, context_.settings.firstPeerPort), 0, lost);
     }
 }
 
+void PeerLink::noteCrashes(const crashattribution::CrashNews &news, std::string_view from, Instant now)
+{
+    for (const crashattribution::Fingerprint fingerprint : context_.crashes.merge(news, now)) {
+        context_.metrics.onCrash("convicted_elsewhere");
+        context_.log.report({"crashes",
+                             "convicted_elsewhere",
+                             ResultCode::Quarantined,
+                             "",
+                             {{"fingerprint", crashattribution::toText(fingerprint)},
+                              {"told_by", std::string(from)},
+                              {"refused_ms", std::to_string(context_.crashes.refusedFor(fingerprint, now).count())}}});
+    }
+}
+
+void PeerLink::judgeCrashes(Instant now)
+{
+    for (const crashattribution::Verdict &verdict : context_.crashes.judge(now)) {
+        std::string crashes;
+        for (const crashattribution::CrashSighting &crash : verdict.crashes) {
+            crashes += (crashes.empty() ? "" : " ") + crash.incarnation.upstream + "/" + std::to_string(crash.incarnation.bornMs) + "/"
+                + std::to_string(crash.age.count()) + "ms";
+        }
+        context_.metrics.onCrash("convicted");
+        context_.log.report({"crashes",
+                             "convicted",
+                             ResultCode::Quarantined,
+                             "",
+                             {{"fingerprint", crashattribution::toText(verdict.fingerprint)},
+                              {"crashes", crashes},
+                              {"refused_ms", std::to_string(context_.crashes.refusedFor(verdict.fingerprint, now).count())}}});
+    }
+}
+
 void PeerLink::noteLeaving(const peers::Heartbeat &heartbeat, Instant now)
 {
     for (const fleet::LeavingUpstream &leaving : heartbeat.leaving) {
@@ -97,6 +139,7 @@
 asio::awaitable<void> PeerLink::sendLoop()
 {
     while (true) {
+        judgeCrashes(framework::monotonicNow());
         announce();
         context_.peers.expire(framework::monotonicNow());
         context_.dispatcher.setEntries(context_.peers.possiblyAlive(framework::monotonicNow()));
@@ -116,8 +159,14 @@
             continue;
         }
         const framework::Ret taken = framework::attempt([&, size = bytes]() -> framework::Result<void> {
-            BOOST_LEAF_AUTO(heartbeat, peers::decodeHeartbeat(std::string_view(buffer).substr(0, size)));
+            const std::string_view message = std::string_view(buffer).substr(0, size);
             const Instant now = framework::monotonicNow();
+            if (peers::isCrashNews(message)) {
+                BOOST_LEAF_AUTO(news, peers::decodeCrashNews(message));
+                noteCrashes(news, from.address().to_string(), now);
+                return {};
+            }
+            BOOST_LEAF_AUTO(heartbeat, peers::decodeHeartbeat(message));
             context_.peers.onHeartbeat(heartbeat, now);
             noteLeaving(heartbeat, now);
             return {};
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/ip/udp.hpp>
 
-#include <array>
+#include <span>
+#include <string>
+#include <string_view>
 
 namespace daisymount::gateway
 {
@@ -21,6 +23,9 @@
     void announce();
 
 private:
+    void send(std::string_view message, std::span<const std::string> targets);
+    void noteCrashes(const crashattribution::CrashNews &news, std::string_view from, Instant now);
+    void judgeCrashes(Instant now);
     void noteLeaving(const peers::Heartbeat &heartbeat, Instant now);
     /// Tells the dispatcher between whom the engines' places are divided.
     void shareEngines();
--- /dev/null
+++ b/src/peers/internal/compactcodec.h
@@ -0,0 +1,135 @@
+// Compact binary encoding of messages between gateways: numbers take as few bytes as they need and a text that recurs is sent once.
+
+#pragma once
+
+#include "framework/result.h"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisymount::peers
+{
+
+class CompactWriter
+{
+public:
+    void number(uint64_t value)
+    {
+        while (value >= VARINT_MORE) {
+            rows_ += static_cast<char>((value & (VARINT_MORE - 1)) | VARINT_MORE);
+            value >>= VARINT_BITS;
+        }
+        rows_ += static_cast<char>(value);
+    }
+
+    /// @p value is at least -1.
+    void signedNumber(int64_t value)
+    {
+        number(static_cast<uint64_t>(value + 1));
+    }
+
+    void text(const std::string &value)
+    {
+        const auto [entry, added] = numberOf_.try_emplace(value, texts_.size());
+        if (added) {
+            texts_.push_back(value);
+        }
+        number(entry->second);
+    }
+
+    /// The message: @p magic, the texts, the rows.
+    std::string finish(std::string_view magic)
+    {
+        const std::string rows = std::move(rows_);
+        rows_.clear();
+        number(texts_.size());
+        for (const std::string &value : texts_) {
+            number(value.size());
+            rows_ += value;
+        }
+        return std::string(magic) + rows_ + rows;
+    }
+
+private:
+    static constexpr unsigned VARINT_BITS = 7;
+    static constexpr unsigned VARINT_MORE = 0x80;
+
+    std::string rows_;
+    std::vector<std::string> texts_;
+    std::map<std::string, size_t> numberOf_;
+};
+
+class CompactReader
+{
+public:
+    explicit CompactReader(std::string_view bytes) : bytes_(bytes)
+    { }
+
+    framework::Result<uint64_t> number(uint64_t most)
+    {
+        uint64_t value = 0;
+        for (unsigned shift = 0; shift <= MOST_SHIFT; shift += VARINT_BITS) {
+            if (bytes_.empty()) {
+                return framework::fail(framework::ResultCode::BadMessage, "message ends early");
+            }
+            const auto byte = static_cast<unsigned char>(bytes_.front());
+            bytes_.remove_prefix(1);
+            value |= static_cast<uint64_t>(byte & (VARINT_MORE - 1)) << shift;
+            if (byte < VARINT_MORE) {
+                return value <= most ? framework::Result<uint64_t>(value)
+                                     : framework::fail(framework::ResultCode::BadMessage, "number out of range in a message");
+            }
+        }
+        return framework::fail(framework::ResultCode::BadMessage, "number too long in a message");
+    }
+
+    framework::Result<int64_t> signedNumber()
+    {
+        BOOST_LEAF_AUTO(value, number(std::numeric_limits<int64_t>::max()));
+        return static_cast<int64_t>(value) - 1;
+    }
+
+    framework::Result<void> readTexts()
+    {
+        BOOST_LEAF_AUTO(count, number(MOST_TEXTS));
+        for (uint64_t i = 0; i < count; ++i) {
+            BOOST_LEAF_AUTO(size, number(MOST_TEXT_BYTES));
+            if (size > bytes_.size()) {
+                return framework::fail(framework::ResultCode::BadMessage, "message ends early");
+            }
+            texts_.emplace_back(bytes_.substr(0, size));
+            bytes_.remove_prefix(size);
+        }
+        return {};
+    }
+
+    framework::Result<std::string> text()
+    {
+        BOOST_LEAF_AUTO(index, number(MOST_TEXTS));
+        if (index >= texts_.size()) {
+            return framework::fail(framework::ResultCode::BadMessage, "unknown text in a message");
+        }
+        return texts_[index];
+    }
+
+    bool atEnd() const
+    {
+        return bytes_.empty();
+    }
+
+private:
+    static constexpr uint64_t MOST_TEXTS = 1'024;
+    static constexpr uint64_t MOST_TEXT_BYTES = 256;
+    static constexpr unsigned VARINT_BITS = 7;
+    static constexpr unsigned VARINT_MORE = 0x80;
+    static constexpr unsigned MOST_SHIFT = 63;
+
+    std::string_view bytes_;
+    std::vector<std::string> texts_;
+};
+
+} // namespace daisymount::peers
--- /dev/null
+++ b/src/peers/internal/crashnewscodec.cpp
@@ -0,0 +1,106 @@
+// Binary codec of what gateways tell each other about requests that were under way at crashes.
+
+#include "peers/internal/compactcodec.h"
+#include "peers/peercodec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace daisymount::peers
+{
+
+namespace
+{
+using crashattribution::CrashNews;
+using crashattribution::Fingerprint;
+using framework::fail;
+using framework::Result;
+using framework::ResultCode;
+
+constexpr std::string_view MAGIC = "DC1";
+constexpr uint64_t MOST_ROWS = 256;
+constexpr uint64_t MOST_AGE_MS = 24ULL * 60 * 60 * 1000;
+
+void writeAge(CompactWriter &writer, milliseconds age)
+{
+    writer.number(static_cast<uint64_t>(std::max<int64_t>(0, age.count())));
+}
+
+Result<milliseconds> readAge(CompactReader &reader)
+{
+    BOOST_LEAF_AUTO(age, reader.number(MOST_AGE_MS));
+    return milliseconds{static_cast<int64_t>(age)};
+}
+
+Result<Fingerprint> readFingerprint(CompactReader &reader)
+{
+    return reader.number(std::numeric_limits<Fingerprint>::max());
+}
+} // namespace
+
+bool isCrashNews(std::string_view bytes)
+{
+    return bytes.starts_with(MAGIC);
+}
+
+std::string encodeCrashNews(const CrashNews &news)
+{
+    CompactWriter writer;
+    writer.number(news.sightings.size());
+    for (const crashattribution::CrashSighting &sighting : news.sightings) {
+        writer.number(sighting.fingerprint);
+        writer.text(sighting.incarnation.upstream);
+        writer.signedNumber(sighting.incarnation.bornMs);
+        writeAge(writer, sighting.age);
+        writeAge(writer, sighting.underWay);
+    }
+    writer.number(news.clearances.size());
+    for (const crashattribution::Clearance &clearance : news.clearances) {
+        writer.number(clearance.fingerprint);
+        writeAge(writer, clearance.age);
+    }
+    writer.number(news.convictions.size());
+    for (const crashattribution::Conviction &conviction : news.convictions) {
+        writer.number(conviction.fingerprint);
+        writeAge(writer, conviction.age);
+    }
+    return writer.finish(MAGIC);
+}
+
+Result<CrashNews> decodeCrashNews(std::string_view bytes)
+{
+    if (!isCrashNews(bytes)) {
+        return fail(ResultCode::BadMessage, "no news of crashes");
+    }
+    CompactReader reader(bytes.substr(MAGIC.size()));
+    BOOST_LEAF_CHECK(reader.readTexts());
+    CrashNews news;
+    BOOST_LEAF_AUTO(sightings, reader.number(MOST_ROWS));
+    for (uint64_t i = 0; i < sightings; ++i) {
+        crashattribution::CrashSighting sighting;
+        BOOST_LEAF_ASSIGN(sighting.fingerprint, readFingerprint(reader));
+        BOOST_LEAF_ASSIGN(sighting.incarnation.upstream, reader.text());
+        BOOST_LEAF_ASSIGN(sighting.incarnation.bornMs, reader.signedNumber());
+        BOOST_LEAF_ASSIGN(sighting.age, readAge(reader));
+        BOOST_LEAF_ASSIGN(sighting.underWay, readAge(reader));
+        news.sightings.push_back(std::move(sighting));
+    }
+    BOOST_LEAF_AUTO(clearances, reader.number(MOST_ROWS));
+    for (uint64_t i = 0; i < clearances; ++i) {
+        BOOST_LEAF_AUTO(fingerprint, readFingerprint(reader));
+        BOOST_LEAF_AUTO(age, readAge(reader));
+        news.clearances.push_back({fingerprint, age});
+    }
+    BOOST_LEAF_AUTO(convictions, reader.number(MOST_ROWS));
+    for (uint64_t i = 0; i < convictions; ++i) {
+        BOOST_LEAF_AUTO(fingerprint, readFingerprint(reader));
+        BOOST_LEAF_AUTO(age, readAge(reader));
+        news.convictions.push_back({fingerprint, age});
+    }
+    if (!reader.atEnd()) {
+        return fail(ResultCode::BadMessage, "bytes behind news of crashes");
+    }
+    return news;
+}
+
+} // namespace daisymount::peers
--- a/src/peers/peercodec.h
+++ b/src/peers/peercodec.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "crashattribution/crashtypes.h"
 #include "fleet/fleetview.h"
 #include "framework/result.h"
 #include "peers/peertypes.h"
@@ -29,6 +30,11 @@
 std::string encodeHeartbeat(const Heartbeat &heartbeat);
 framework::Result<Heartbeat> decodeHeartbeat(std::string_view bytes);
 
+/// News of crashes are messages of their own: there are none while no upstream crashes.
+bool isCrashNews(std::string_view bytes);
+std::string encodeCrashNews(const crashattribution::CrashNews &news);
+framework::Result<crashattribution::CrashNews> decodeCrashNews(std::string_view bytes);
+
 std::string encodeSnapshot(const FleetSnapshot &snapshot);
 framework::Result<FleetSnapshot> decodeSnapshot(std::string_view bytes);
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -92,6 +92,16 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+/// How an attempt to connect ended.
+struct ConnectOutcome
+{
+    ConnectionPtr connection; ///< Null when it failed.
+    bool refused = false; ///< The machine answered that nobody listens at the port.
+};
+
+/// Connects to @p endpoint within @p patience.
+asio::awaitable<ConnectOutcome> tryConnect(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, milliseconds patience);
+
 /// Connects to @p endpoint within @p patience; null when that fails.
 asio::awaitable<ConnectionPtr> connectTo(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, milliseconds patience);
 
--- a/src/transport/internal/connection.cpp
+++ b/src/transport/internal/connection.cpp
@@ -204,7 +204,7 @@
     close();
 }
 
-asio::awaitable<ConnectionPtr> connectTo(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, milliseconds patience)
+asio::awaitable<ConnectOutcome> tryConnect(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, milliseconds patience)
 {
     // Shared with the timer's handler, which may still be queued when the connection stands.
     const auto socket = std::make_shared<asio::ip::tcp::socket>(executor);
@@ -218,11 +218,17 @@
     const auto [error] = co_await socket->async_connect(endpoint, AWAIT);
     limit.cancel();
     if (error || !socket->is_open()) {
-        co_return nullptr;
+        co_return ConnectOutcome{nullptr, error == asio::error::connection_refused};
     }
     auto connection = std::make_shared<Connection>(std::move(*socket));
     connection->start();
-    co_return connection;
+    co_return ConnectOutcome{std::move(connection), false};
+}
+
+asio::awaitable<ConnectionPtr> connectTo(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, milliseconds patience)
+{
+    ConnectOutcome outcome = co_await tryConnect(std::move(executor), std::move(endpoint), patience);
+    co_return std::move(outcome.connection);
 }
 
 asio::awaitable<void> sleepFor(Duration duration)
