Retry budget: held through restarts, joins and cuts of entries

What callers saw: nothing yet; a service in trouble would have got more repeats than it bears. Cause: an entry that starts anew does not know what it spent in the window before, and had its whole part of the slack at once; entries that lose each other divide the slack by fewer after 20 s and both sides spend it all. Change: for one window after its start an entry repeats by the ratio of its own requests alone; the slack is divided by the most entries known in the last two minutes. A cut of more than two minutes can still double the slack. Ruled out: keeping the counts at other entries, which costs bytes in each heartbeat for what a window heals by itself.

--- a/src/dispatch/internal/retryshare.cpp
+++ b/src/dispatch/internal/retryshare.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/retryshare.h"
 
+#include <algorithm>
+
 namespace daisymount::dispatch
 {
 
@@ -9,20 +11,44 @@
 {
 /// Part of the budget that is used; the rest covers the width of a window slot and requests that never arrive.
 constexpr double USED_PART = 0.8;
+/// Entries that are heard no more may only be cut off and go on spending: their part stays theirs for this long.
+constexpr framework::seconds KEEP_PARTS{120};
 } // namespace
 
-RetryShare::RetryShare(const RetryBudgetOptions &options) : options_(options)
+RetryShare::RetryShare(const RetryBudgetOptions &options, framework::Instant startedAt) : options_(options), startedAt_(startedAt)
 { }
 
+void RetryShare::setEntries(int entries, framework::Instant now)
+{
+    // What is assumed before the other entries have been met is no count.
+    if (now - startedAt_ < options_.window) {
+        return;
+    }
+    while (!entryCounts_.empty() && entryCounts_.back().entries <= entries) {
+        entryCounts_.pop_back();
+    }
+    entryCounts_.push_back({std::max(1, entries), now});
+    while (now - entryCounts_.front().at > KEEP_PARTS) {
+        entryCounts_.pop_front();
+    }
+}
+
+int RetryShare::entries() const
+{
+    return entryCounts_.empty() ? 1 : entryCounts_.front().entries;
+}
+
 void RetryShare::onRequest(std::string_view service, framework::Instant now)
 {
     counts(service).requests.add(now);
 }
 
-bool RetryShare::tryRepeat(std::string_view service, int entries, framework::Instant now)
+bool RetryShare::tryRepeat(std::string_view service, framework::Instant now)
 {
     Counts &known = counts(service);
-    const double budget = options_.ratio * static_cast<double>(known.requests.total(now)) + options_.slack / std::max(1, entries);
+    // An earlier process at this entry may have spent its part of the slack in the same window.
+    const double slack = now - startedAt_ < options_.window ? 0.0 : options_.slack / entries();
+    const double budget = options_.ratio * static_cast<double>(known.requests.total(now)) + slack;
     if (static_cast<double>(known.repeats.total(now) + 1) > USED_PART * budget) {
         return false;
     }
--- a/src/dispatch/retryshare.h
+++ b/src/dispatch/retryshare.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/slidingcount.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -21,11 +22,16 @@
 class RetryShare
 {
 public:
-    explicit RetryShare(const RetryBudgetOptions &options);
+    /// @p startedAt: start of the process. What an earlier one had spent in the window is not known.
+    RetryShare(const RetryBudgetOptions &options, framework::Instant startedAt);
 
+    /// Entries that may be alive, this one among them, at least 1. Call several times a second.
+    void setEntries(int entries, framework::Instant now);
     void onRequest(std::string_view service, framework::Instant now);
-    /// Takes one repeat; false when this entry's share is spent. @p entries: entries that may be alive, at least 1.
-    bool tryRepeat(std::string_view service, int entries, framework::Instant now);
+    /// Takes one repeat; false when this entry's share is spent.
+    bool tryRepeat(std::string_view service, framework::Instant now);
+    /// Entries that the slack is divided by.
+    int entries() const;
 
 private:
     struct Counts
@@ -36,7 +42,15 @@
 
     Counts &counts(std::string_view service);
 
+    struct EntryCount
+    {
+        int entries = 1;
+        framework::Instant at{0};
+    };
+
     RetryBudgetOptions options_;
+    framework::Instant startedAt_;
+    std::deque<EntryCount> entryCounts_; ///< Of the last while, decreasing: the first is the largest.
     std::map<std::string, Counts, std::less<>> counts_;
 };
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -232,15 +232,14 @@
 
 bool Exchange::takeRepeat(Instant now)
 {
-    const int entries = context_.peers.possiblyAlive(now);
-    const bool allowed = context_.retries.tryRepeat(service_, entries, now);
+    const bool allowed = context_.retries.tryRepeat(service_, now);
     context_.metrics.onRepeat(service_, allowed);
     if (!allowed) {
         context_.log.report({"forwarding",
                              "repeat_denied",
                              ResultCode::RetryBudgetSpent,
                              request_.facts.requestId,
-                             {{"service", service_}, {"entries", std::to_string(entries)}, {"attempts", std::to_string(tried_.size())}}});
+                             {{"service", service_}, {"entries", std::to_string(context_.retries.entries())}, {"attempts", std::to_string(tried_.size())}}});
     }
     return allowed;
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -68,7 +68,7 @@
     , view(platform::fleetDecoder())
     , dispatcher({settings.zone, settings.bounds.coldOvershoot, settings.bounds.coldSlack, seed})
     , admission({}, seed)
-    , retries({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow})
+    , retries({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow}, framework::monotonicNow())
     , pool(reactor)
     , caller(reactor)
     , peers(std::move(self), {.readerFresh = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR, .seed = seed})
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -142,7 +142,10 @@
         judgeCrashes(framework::monotonicNow());
         announce();
         context_.peers.expire(framework::monotonicNow());
-        context_.dispatcher.setEntries(context_.peers.possiblyAlive(framework::monotonicNow()));
+        const Instant now = framework::monotonicNow();
+        const int entries = context_.peers.possiblyAlive(now);
+        context_.dispatcher.setEntries(entries);
+        context_.retries.setEntries(entries, now);
         shareEngines();
         co_await transport::sleepFor(HEARTBEAT_INTERVAL);
     }
--- a/src/gateway/tests/fleetfixture.h
+++ b/src/gateway/tests/fleetfixture.h
@@ -153,6 +153,8 @@
     FleetGateway(asio::io_context &reactor, const fleet::NodeSettings &settings, peers::Peer self, uint64_t seed)
         : context(settings, reactor.get_executor(), std::move(self), seed), link(context), acceptor_(reactor, {asio::ip::address_v4::loopback(), 0})
     {
+        // It has run for a while, so that its part of the retry budget is whole.
+        context.retries = dispatch::RetryShare({0.2, RETRY_SLACK, std::chrono::seconds{10}}, framework::Instant{0});
         asio::co_spawn(reactor, accept(), asio::detached);
     }
 
@@ -200,7 +202,6 @@
         settings.zone = "z";
         settings.firstPeerPort = peerPort_;
         settings.memoryBytes = 256U << 20U;
-        settings.bounds.retrySlack = 1'000.0;
         peers::Peer self;
         self.name = settings.name;
         self.incarnation = static_cast<int64_t>(gateways_.size()) + 1;
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -106,11 +106,16 @@
     asio::ip::tcp::acceptor acceptor_;
 };
 
+/// Lets tests repeat as often as they like.
+constexpr double RETRY_SLACK = 1'000.0;
+
 class GatewayWorld
 {
 public:
     GatewayWorld() : context(settings(), reactor.get_executor(), peers::Peer{}, 1), acceptor_(reactor, {asio::ip::address_v4::loopback(), 0})
     {
+        // It has run for a while, so that its part of the retry budget is whole.
+        context.retries = dispatch::RetryShare({0.2, RETRY_SLACK, std::chrono::seconds{10}}, framework::Instant{0});
         asio::co_spawn(reactor, accept(), asio::detached);
     }
 
@@ -173,7 +178,6 @@
         settings.name = "gateway";
         settings.zone = "z";
         settings.memoryBytes = 256U << 20U;
-        settings.bounds.retrySlack = 1'000.0;
         return settings;
     }
 
