Convictions outlast all gateways in the platform's store

What callers would see: after a loss of power of all entries a request that was refused begins to crash upstreams anew, three of them. Cause: what gateways know together lives in their memory. Now the first gateway by name writes each conviction under a lease that ends with it, each gateway reads the kept ones once at its start (a stale read, a tenth of a call), and an answer that lifts a conviction removes its key. Tests (failed before: no such code): ConvictionStore, with lost replies and foreign keys. Evidence short of a conviction is not kept: two writes a crash for what three crashes bring back.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "gateway/convictionstore.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/mapcontroller.h"
 #include "gateway/peerlink.h"
@@ -46,6 +47,7 @@
     GatewayContext context_;
     StoreSync store_;
     PeerLink peers_;
+    ConvictionStore convictions_;
     MapController maps_;
     transport::asio::signal_set signals_;
     transport::AcceptorPtr callers_; ///< Where callers connect.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -16,6 +16,7 @@
 #include "peers/peertable.h"
 #include "transport/httpcaller.h"
 
+#include <functional>
 #include <random>
 
 namespace daisymount::gateway
@@ -39,6 +40,8 @@
     GatewayLog log;
     GatewayMetrics metrics;
     std::mt19937 random;
+    std::function<void(crashattribution::Fingerprint)> onConvicted = [](crashattribution::Fingerprint) {}; ///< Here or elsewhere.
+    std::function<void(crashattribution::Fingerprint)> onLifted = [](crashattribution::Fingerprint) {}; ///< An answer ended a conviction.
 
     bool draining = false; ///< SIGTERM has come: not ready, connections are closed behind their answers.
     Instant drainingSince{0};
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -461,6 +461,10 @@
 void Exchange::noteCrashEvidence(const Attempt &attempt, AttemptEnd end, Instant now)
 {
     if (end == AttemptEnd::Answered || end == AttemptEnd::FailureAnswer) {
+        const bool wasConvicted = context_.crashes.standing(fingerprint_, now) == crashattribution::Standing::Convicted;
+        if (wasConvicted) {
+            context_.onLifted(fingerprint_);
+        }
         if (context_.crashes.onAnswered(fingerprint_, now)) {
             context_.metrics.onCrash("cleared");
             context_.log.report({"crashes",
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -89,9 +89,13 @@
     , context_(settings, reactor_.get_executor(), describeSelf(settings), freshSeed())
     , store_(context_, [this] { onFleetChange(); })
     , peers_(context_)
+    , convictions_(context_)
     , maps_(context_)
     , signals_(reactor_, SIGTERM, SIGINT, SIGHUP)
-{ }
+{
+    context_.onConvicted = [this](crashattribution::Fingerprint fingerprint) { convictions_.onConvicted(fingerprint); };
+    context_.onLifted = [this](crashattribution::Fingerprint fingerprint) { convictions_.onLifted(fingerprint); };
+}
 
 void Gateway::run()
 {
@@ -102,6 +106,7 @@
     watchSignals();
     store_.start();
     peers_.start();
+    convictions_.start();
     maps_.start();
     asio::co_spawn(reactor_, housekeeping(), asio::detached);
     context_.log.report({"process", "started", ResultCode::Ok, "", {{"callers", context_.settings.callerAddress}, {"store", context_.settings.store.address}}});
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -91,6 +91,7 @@
                              {{"fingerprint", crashattribution::toText(fingerprint)},
                               {"told_by", std::string(from)},
                               {"refused_ms", std::to_string(context_.crashes.refusedFor(fingerprint, now).count())}}});
+        context_.onConvicted(fingerprint);
     }
 }
 
@@ -110,6 +111,7 @@
                              {{"fingerprint", crashattribution::toText(verdict.fingerprint)},
                               {"crashes", crashes},
                               {"refused_ms", std::to_string(context_.crashes.refusedFor(verdict.fingerprint, now).count())}}});
+        context_.onConvicted(verdict.fingerprint);
     }
 }
 
