Explain: a quarantined request leads to the crashes of its kind

Cause: daisymountctl explain showed the lines of one request id and beliefs around it; the crashes that convicted a request lie minutes before and belong to other ids. Now lines with its fingerprint are shown whenever they were written. Test: aQuarantinedRequestLeadsToTheCrashesOfItsKind.

--- a/src/logreport/internal/requestexplanation.cpp
+++ b/src/logreport/internal/requestexplanation.cpp
@@ -62,6 +62,13 @@
     return cause.empty() ? "no upstream was tried" : "tried " + cause;
 }
 
+/// The fingerprint for which the request was refused, empty when it was not.
+std::string_view quarantinedAs(std::span<const LogRecord> lines)
+{
+    const auto refused = std::ranges::find_if(lines, [](const LogRecord &line) { return line.duty == "crashes" && line.event == "refused"; });
+    return refused == lines.end() ? std::string_view() : refused->detail("fingerprint");
+}
+
 std::string causeOf(std::span<const LogRecord> lines)
 {
     if (lines.empty()) {
@@ -75,6 +82,10 @@
     if (refused != lines.end() && is(answered->code, ResultCode::UpstreamFull)) {
         return refusalCause(*refused);
     }
+    if (const std::string_view fingerprint = quarantinedAs(lines); !fingerprint.empty() && is(answered->code, ResultCode::Quarantined)) {
+        return "refused: equal requests (fingerprint " + std::string(fingerprint)
+            + ") were under way when several upstreams crashed; the lines suspected and convicted name the crashes";
+    }
     if (is(answered->code, ResultCode::Ok)) {
         return "served: first part after " + text(*answered, "first_ms") + " ms, whole after " + text(*answered, "ms") + " ms; " + attemptsCause(lines);
     }
@@ -136,9 +147,12 @@
     const LogRecord &last = explanation.lines.back();
     const std::string_view lasted = last.detail("ms");
     const int64_t ranMs = lasted.empty() ? 0 : std::atoll(std::string(lasted).c_str());
+    const std::string_view fingerprint = quarantinedAs(explanation.lines);
     const int64_t from = std::min(explanation.lines.front().timeMs, last.timeMs - ranMs) - BEFORE_MS;
     for (const LogRecord &record : records) {
-        if (record.timeMs >= from && record.timeMs <= last.timeMs && changesABelief(record)) {
+        const bool soon = record.timeMs >= from && record.timeMs <= last.timeMs && changesABelief(record);
+        const bool ofItsKind = !fingerprint.empty() && record.detail("fingerprint") == fingerprint && record.duty == "crashes" && record.event != "refused";
+        if (soon || ofItsKind) {
             explanation.around.push_back(record);
         }
     }
--- a/src/logreport/tests/logreport_tests.cpp
+++ b/src/logreport/tests/logreport_tests.cpp
@@ -66,6 +66,19 @@
     STRCMP_EQUAL("given_up", explanation.around.front().event.c_str());
 }
 
+TEST(RequestExplanation, aQuarantinedRequestLeadsToTheCrashesOfItsKind)
+{
+    line(R"({"time_ms":1000,"vm":"vm-3","duty":"crashes","event":"suspected","code":303,"request":"x1","fingerprint":"00ab","upstream":"u7","crashes":"1"})");
+    line(R"({"time_ms":1500,"vm":"vm-3","duty":"crashes","event":"suspected","code":303,"request":"x2","fingerprint":"00cd","upstream":"u7","crashes":"1"})");
+    line(R"({"time_ms":9000,"vm":"vm-2","duty":"crashes","event":"convicted","code":208,"fingerprint":"00ab","crashes":"u7/1/8000ms u8/1/4000ms u9/1/900ms"})");
+    line(R"({"time_ms":90000,"vm":"vm-1","duty":"crashes","event":"refused","code":208,"request":"f6","fingerprint":"00ab","retry_after_ms":"510000"})");
+    line(R"({"time_ms":90000,"vm":"vm-1","duty":"forwarding","event":"answered","code":208,"request":"f6","status":"503","ms":"1"})");
+    const RequestExplanation explanation = explainRequest(records, "f6");
+    CHECK(explanation.cause.find("fingerprint 00ab") != std::string::npos);
+    LONGS_EQUAL(2, explanation.around.size());
+    STRCMP_EQUAL("convicted", explanation.around.back().event.c_str());
+}
+
 TEST(RequestExplanation, requestsWithoutAnEndOrWithoutLinesAreToldApart)
 {
     line(R"({"time_ms":1100,"vm":"vm-1","duty":"forwarding","event":"attempt","code":303,"request":"d4","upstream":"u1","end":"not_run","status":"0"})");
