Crashes of upstreams whose address stays open are noticed; gateways as real processes in a test

What callers would see: a request that crashes upstreams is sent on where a supervisor holds their listening sockets. Cause: one accepted connection counted as life. Found by the new test with real gateway processes, which had inherited the stand-ins' listening sockets: 8 gateway lives, no conviction. Now an accepted connection decides nothing: the registration is watched for 6 s, until an answer to a request that was sent after the break shows life. Tests: GatewayProcesses (killed all at once and started again: refused 8 of 8, no arrival), thatCrashesUpstreamsWhoseAddressStaysOpen.

--- a/src/crashattribution/internal/crashattribution.cpp
+++ b/src/crashattribution/internal/crashattribution.cpp
@@ -3,8 +3,6 @@
 #include "crashattribution/crashattribution.h"
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 #include <tuple>
 
 namespace daisymount::crashattribution
@@ -29,6 +27,7 @@
 size_t successiveCrashes(const Sightings &sightings)
 {
     std::vector<std::pair<Instant, Instant>> spans;
+    spans.reserve(sightings.size());
     for (const auto &[incarnation, sighting] : sightings) {
         spans.emplace_back(sighting.crashedAt, sighting.sentAt);
     }
@@ -238,7 +237,9 @@
     explained_.clear();
     for (const auto &[fingerprint, suspect] : suspects_) {
         if (suspect.isConvicted()) {
-            std::ranges::copy(suspect.sightings | std::views::keys, std::inserter(explained_, explained_.end()));
+            for (const auto &[incarnation, sighting] : suspect.sightings) {
+                explained_.insert(incarnation);
+            }
         }
     }
 }
@@ -250,7 +251,7 @@
             return false;
         }
         const Sightings theirs = evidence(entry.second, until);
-        return std::ranges::includes(theirs | std::views::keys, sightings | std::views::keys);
+        return std::ranges::all_of(sightings, [&](const auto &sighting) { return theirs.contains(sighting.first); });
     });
 }
 
@@ -318,7 +319,7 @@
     if (rows.size() <= options_.mostTold) {
         return;
     }
-    std::ranges::rotate(rows, rows.begin() + static_cast<std::ptrdiff_t>(random_() % rows.size()));
+    std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(random_() % rows.size()), rows.end());
     rows.resize(options_.mostTold);
 }
 
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -30,24 +30,33 @@
     explicit CrashWatch(GatewayContext &context);
 
     /// The upstream broke off @p attempt, though it neither leaves nor has answered. Whether it has crashed shows a little later: a crashed
-    /// one refuses connections, or its registration ends.
+    /// one refuses connections, or its registration ends without another sign of life.
     void onBroken(const dispatch::Placement &placement, BrokenAttempt attempt);
+    /// The upstream answered a request that was sent at @p sentAt.
+    void onSignOfLife(const dispatch::Placement &placement, transport::Instant sentAt);
 
 private:
-    /// How a look at the upstream came out.
     enum class Evidence : uint8_t {
-        Alive, ///< It accepts connections: it broke off for another reason.
         Refuses, ///< Nobody listens at its address.
         Unregistered, ///< Its registration has ended, or another incarnation has its id.
         None,
     };
 
+    /// An incarnation of which attempts were broken off lately.
+    struct Watched
+    {
+        std::vector<BrokenAttempt> unexamined; ///< Wait for one look at the upstream.
+        int examinations = 0; ///< Under way.
+        transport::Instant lifeSentAt{0}; ///< When the last request was sent that it has answered meanwhile.
+    };
+
     transport::asio::awaitable<void> examine(dispatch::Placement placement);
-    transport::asio::awaitable<Evidence> findEvidence(const dispatch::Placement &placement);
+    transport::asio::awaitable<Evidence> refusesConnections(const dispatch::Placement &placement);
+    transport::asio::awaitable<Evidence> losesRegistration(const dispatch::Placement &placement, transport::Instant brokenAt);
     void onCrash(const crashattribution::UpstreamIncarnation &incarnation, Evidence evidence, const std::vector<BrokenAttempt> &attempts);
 
     GatewayContext &context_;
-    std::map<crashattribution::UpstreamIncarnation, std::vector<BrokenAttempt>> pending_; ///< Being examined, one examination for each.
+    std::map<crashattribution::UpstreamIncarnation, Watched> watched_; ///< Only while there are examinations.
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/crashwatch.cpp
+++ b/src/gateway/internal/crashwatch.cpp
@@ -1,4 +1,4 @@
-// One connection attempt to a suspected upstream, then its registration.
+// One connection attempt to a suspected upstream, then its registration until it shows a sign of life.
 
 #include "gateway/crashwatch.h"
 
@@ -8,7 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <string_view>
+#include <algorithm>
 
 namespace daisymount::gateway
 {
@@ -34,44 +34,63 @@
     if (!context_.dispatcher.isServing(placement.upstream, placement.bornMs)) {
         return;
     }
-    std::vector<BrokenAttempt> &attempts = pending_[{placement.upstream, placement.bornMs}];
-    attempts.push_back(std::move(attempt));
-    if (attempts.size() == 1) {
+    Watched &watched = watched_[{placement.upstream, placement.bornMs}];
+    watched.unexamined.push_back(std::move(attempt));
+    if (watched.unexamined.size() == 1) {
+        ++watched.examinations;
         asio::co_spawn(context_.executor, examine(placement), asio::detached);
     }
 }
 
+void CrashWatch::onSignOfLife(const dispatch::Placement &placement, transport::Instant sentAt)
+{
+    if (watched_.empty()) {
+        return;
+    }
+    const auto found = watched_.find({placement.upstream, placement.bornMs});
+    if (found != watched_.end()) {
+        found->second.lifeSentAt = std::max(found->second.lifeSentAt, sentAt);
+    }
+}
+
 asio::awaitable<void> CrashWatch::examine(dispatch::Placement placement)
 {
-    const Evidence evidence = co_await findEvidence(placement);
+    co_await transport::sleepFor(CONNECT_DELAY);
     const crashattribution::UpstreamIncarnation incarnation{placement.upstream, placement.bornMs};
-    const std::vector<BrokenAttempt> attempts = std::move(pending_[incarnation]);
-    pending_.erase(incarnation);
-    if (evidence == Evidence::Refuses || evidence == Evidence::Unregistered) {
+    const std::vector<BrokenAttempt> attempts = std::move(watched_[incarnation].unexamined);
+    watched_[incarnation].unexamined.clear();
+    Evidence evidence = co_await refusesConnections(placement);
+    if (evidence == Evidence::None) {
+        evidence = co_await losesRegistration(placement, attempts.back().brokenAt);
+    }
+    // One that has said that it leaves may have ended as planned.
+    if (evidence != Evidence::None && !context_.dispatcher.isLeaving(placement.upstream, placement.bornMs)) {
         onCrash(incarnation, evidence, attempts);
     }
+    if (--watched_[incarnation].examinations == 0) {
+        watched_.erase(incarnation);
+    }
 }
 
-asio::awaitable<CrashWatch::Evidence> CrashWatch::findEvidence(const dispatch::Placement &placement)
+asio::awaitable<CrashWatch::Evidence> CrashWatch::refusesConnections(const dispatch::Placement &placement)
 {
-    co_await transport::sleepFor(CONNECT_DELAY);
     const auto endpoint = transport::parseEndpoint(placement.address);
-    if (endpoint) {
-        transport::ConnectOutcome outcome = co_await transport::tryConnect(context_.executor, *endpoint, CONNECT_PATIENCE);
-        if (outcome.connection) {
-            context_.pool.give(placement, std::move(outcome.connection));
-            co_return Evidence::Alive;
-        }
-        // One that has said meanwhile that it leaves may have ended as planned.
-        if (outcome.refused) {
-            co_return context_.dispatcher.isLeaving(placement.upstream, placement.bornMs) ? Evidence::None : Evidence::Refuses;
-        }
+    if (!endpoint) {
+        co_return Evidence::None;
     }
+    transport::ConnectOutcome outcome = co_await transport::tryConnect(context_.executor, *endpoint, CONNECT_PATIENCE);
+    if (outcome.connection) {
+        // No proof of life: a supervisor may hold the listening socket while the process starts again.
+        context_.pool.give(placement, std::move(outcome.connection));
+    }
+    co_return outcome.refused ? Evidence::Refuses : Evidence::None;
+}
+
+asio::awaitable<CrashWatch::Evidence> CrashWatch::losesRegistration(const dispatch::Placement &placement, transport::Instant brokenAt)
+{
+    const crashattribution::UpstreamIncarnation incarnation{placement.upstream, placement.bornMs};
     const Instant end = framework::monotonicNow() + REGISTRATION_WAIT;
-    while (framework::monotonicNow() < end) {
-        if (context_.dispatcher.isLeaving(placement.upstream, placement.bornMs)) {
-            break;
-        }
+    while (framework::monotonicNow() < end && watched_[incarnation].lifeSentAt <= brokenAt) {
         const auto known = context_.view.upstreams().find(placement.upstream);
         if (known == context_.view.upstreams().end() || known->second.upstream.bornMs != placement.bornMs) {
             co_return Evidence::Unregistered;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -327,6 +327,9 @@
         return !facts.requestId.empty() && !attempt.reader.endsWithConnection();
     }
     const std::string &upstream = attempt.placement.upstream;
+    if (status != MISDIRECTED) {
+        context_.crashWatch.onSignOfLife(attempt.placement, attempt.startedAt);
+    }
     attempt.firstAnswer = now - attempt.startedAt;
     attempt.progressAt = now;
     if (facts.load) {
--- a/src/gateway/tests/crashingrequest_tests.cpp
+++ b/src/gateway/tests/crashingrequest_tests.cpp
@@ -114,6 +114,16 @@
     LONGS_EQUAL(0, soundQuarantined);
 }
 
+TEST(CrashingRequest, thatCrashesUpstreamsWhoseAddressStaysOpenIsNotSentOn)
+{
+    for (const auto &upstream : world->upstreams()) {
+        upstream->keepsAddress = true;
+    }
+    play("/unsafe/x");
+    checkSentOnNoMore();
+    LONGS_EQUAL(0, soundQuarantined);
+}
+
 TEST(CrashingRequest, isRefusedAsNotRunWithoutAnInvitationToComeBackSoon)
 {
     play("/safe/x");
@@ -183,9 +193,12 @@
         world->send(request("/safe/x", BREAKING_BODY), [&](const CallerResult &result) { refused += isQuarantined(result) ? 1 : 0; });
         world->run(REPEAT_INTERVAL);
     }
+    world->run(seconds{6});
     LONGS_EQUAL(0, refused);
     LONGS_EQUAL(0, world->crashes().size());
-    LONGS_EQUAL(0, world->gateways().front()->context.crashes.suspects());
+    for (const auto &gateway : world->gateways()) {
+        LONGS_EQUAL(0, gateway->context.crashes.suspects());
+    }
 }
 
 TEST(CrashingRequest, upstreamsThatLeaveAsPlannedDoNotCountAsCrashed)
--- a/src/gateway/tests/fleetfixture.h
+++ b/src/gateway/tests/fleetfixture.h
@@ -60,8 +60,10 @@
         }
         down_ = true;
         crashedAt.push_back(framework::monotonicNow());
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        if (!keepsAddress) {
+            boost::system::error_code ignored;
+            acceptor_.close(ignored);
+        }
         for (const transport::ConnectionPtr &connection : connections_) {
             connection->reset();
         }
@@ -70,6 +72,7 @@
     }
 
     std::vector<framework::Instant> crashedAt;
+    bool keepsAddress = false; ///< While the process is down a supervisor holds its listening socket: connections are accepted and stay silent.
 
 private:
     void listen(uint16_t port)
@@ -87,7 +90,9 @@
     {
         co_await transport::sleepFor(DOWN);
         ++incarnation_;
-        listen(port_);
+        if (!keepsAddress) {
+            listen(port_);
+        }
         down_ = false;
         onBorn_();
     }
@@ -101,6 +106,10 @@
             }
             auto connection = std::make_shared<transport::Connection>(std::move(socket));
             connection->start();
+            if (down_) {
+                silent_.push_back(connection);
+                continue;
+            }
             connections_.push_back(connection);
             asio::co_spawn(executor_, serve(connection), asio::detached);
         }
@@ -144,6 +153,7 @@
     int incarnation_ = 1;
     bool down_ = false;
     std::vector<transport::ConnectionPtr> connections_;
+    std::vector<transport::ConnectionPtr> silent_; ///< Accepted while the process was down.
 };
 
 /// One gateway's request path and heartbeats.
@@ -180,6 +190,31 @@
     asio::ip::tcp::acceptor acceptor_;
 };
 
+/// Sends @p bytes on a new connection and reads one answer, for eight seconds at most.
+inline asio::awaitable<void> exchangeOnce(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, std::string bytes,
+                                          std::function<void(const CallerResult &)> onEnd)
+{
+    CallerResult result;
+    const transport::ConnectionPtr connection = co_await transport::connectTo(executor, endpoint, std::chrono::seconds{1});
+    if (!connection) {
+        onEnd(result);
+        co_return;
+    }
+    co_await connection->write(bytes, std::chrono::seconds{2});
+    transport::HttpReader reader(transport::HttpReader::Side::Response, 1U << 16U, 1U << 20U);
+    const framework::Instant deadline = framework::monotonicNow() + std::chrono::seconds{8};
+    while (!reader.done() && !reader.failed() && framework::monotonicNow() < deadline) {
+        connection->consume(reader.feed(connection->inbox()));
+        if (reader.done() || connection->readEnd() != transport::ReadEnd::Open) {
+            break;
+        }
+        co_await connection->waitForBytes(connection->inbox().size(), deadline);
+    }
+    result = {reader.status(), reader.fields(), reader.body(), reader.done()};
+    connection->close();
+    onEnd(result);
+}
+
 /// Lasts as long as the process: suspended coroutines refer to it.
 class FleetWorld
 {
@@ -228,7 +263,7 @@
 
     void sendTo(FleetGateway &gateway, const std::string &bytes, std::function<void(const CallerResult &)> onEnd)
     {
-        asio::co_spawn(reactor, exchange(gateway.endpoint(), bytes, std::move(onEnd)), asio::detached);
+        asio::co_spawn(reactor, exchangeOnce(reactor.get_executor(), gateway.endpoint(), bytes, std::move(onEnd)), asio::detached);
     }
 
     CallerResult callAt(FleetGateway &gateway, const std::string &bytes)
@@ -291,25 +326,6 @@
         }
     }
 
-    asio::awaitable<void> exchange(asio::ip::tcp::endpoint endpoint, std::string bytes, std::function<void(const CallerResult &)> onEnd)
-    {
-        CallerResult result;
-        const transport::ConnectionPtr connection = co_await transport::connectTo(reactor.get_executor(), endpoint, std::chrono::seconds{1});
-        co_await connection->write(bytes, std::chrono::seconds{2});
-        transport::HttpReader reader(transport::HttpReader::Side::Response, 1U << 16U, 1U << 20U);
-        const framework::Instant deadline = framework::monotonicNow() + std::chrono::seconds{8};
-        while (!reader.done() && !reader.failed() && framework::monotonicNow() < deadline) {
-            connection->consume(reader.feed(connection->inbox()));
-            if (reader.done() || connection->readEnd() != transport::ReadEnd::Open) {
-                break;
-            }
-            co_await connection->waitForBytes(connection->inbox().size(), deadline);
-        }
-        result = {reader.status(), reader.fields(), reader.body(), reader.done()};
-        connection->close();
-        onEnd(result);
-    }
-
     std::string config_;
     std::string service_;
     uint16_t peerPort_;
--- /dev/null
+++ b/src/gateway/tests/processes_tests.cpp
@@ -0,0 +1,283 @@
+// Tests with gateways as real processes, which are killed and started again, before stand-ins of the store and of upstreams that crash.
+
+#include "fleetfixture.h"
+#include "storestandin.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <random>
+#include <spawn.h>
+#include <string>
+#include <sys/wait.h>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount;
+using namespace daisymount::gateway;
+using namespace daisymount::gateway::tests;
+
+extern char **environ;
+
+namespace
+{
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *CONFIG = R"({"version":1,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/safe/","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
+ {"name":"unsafe","host":"a.example","prefix":"/unsafe/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true}],
+ "services":[{"name":"plain","health_path":"/h","max_connections":100,"cold_start_s":0,"cold_per_s":0}],
+ "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":2000},"tenants":[]})";
+
+constexpr milliseconds CONTACT{3'000};
+constexpr long SENT_AFTER_CONTACT = 3;
+constexpr size_t CRASHES_TO_CONVICT = 3;
+constexpr size_t GATEWAYS = 4;
+constexpr size_t UPSTREAMS = 6;
+const std::string CRASHING_BODY = "crash";
+
+uint16_t freePort(asio::io_context &reactor, const std::string &ip)
+{
+    asio::ip::tcp::acceptor probe(reactor, {asio::ip::make_address_v4(ip), 0});
+    return probe.local_endpoint().port();
+}
+
+/// A gateway process, killed by its id at the latest when this ends.
+class GatewayProcess
+{
+public:
+    GatewayProcess(asio::io_context &reactor, size_t number, const std::string &store, uint16_t peerPort, const std::filesystem::path &folder)
+        : settings_(folder / ("gateway" + std::to_string(number) + ".toml")), log_(folder / ("gateway" + std::to_string(number) + ".log"))
+    {
+        const std::string ip = "127.72.0." + std::to_string(number);
+        endpoint_ = {asio::ip::make_address_v4(ip), freePort(reactor, ip)};
+        std::ofstream file(settings_);
+        const auto address = [&](uint16_t port) { return "\"" + ip + ":" + std::to_string(port) + "\"\n"; };
+        file << "node_name = \"gateway" << number << "\"\nip = \"" << ip << "\"\nzone = \"z\"\nregion = \"r\"\nport_range = [" << peerPort << ","
+             << peerPort + 1 << "]\nseeds = [\"127.72.0.1:1\"]\n[listen]\nfront = " << address(endpoint_.port()) << "ready = " << address(freePort(reactor, ip))
+             << "directory = " << address(freePort(reactor, ip)) << "[limits]\nmemory_mb = 256\nmax_fds = 1024\n[platform]\naddress = \"" << store
+             << "\"\n[bounds]\ncontact_ms = 3000\nbudget_slack = 1000.0\n";
+    }
+
+    ~GatewayProcess()
+    {
+        kill();
+    }
+
+    GatewayProcess(const GatewayProcess &) = delete;
+    GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+    void start()
+    {
+        const std::string variable = "DAISYMOUNT_CONFIG=" + settings_.string();
+        std::vector<char *> environment;
+        for (char **entry = environ; *entry != nullptr; ++entry) {
+            environment.push_back(*entry);
+        }
+        environment.push_back(const_cast<char *>(variable.c_str()));
+        environment.push_back(nullptr);
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_addopen(&files, 1, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        // The upstreams' listening sockets belong to this process alone.
+        posix_spawn_file_actions_addclosefrom_np(&files, 3);
+        char program[] = GATEWAY_PROGRAM;
+        char *arguments[] = {program, nullptr};
+        LONGS_EQUAL(0, posix_spawn(&process_, program, &files, nullptr, arguments, environment.data()));
+        posix_spawn_file_actions_destroy(&files);
+    }
+
+    void kill()
+    {
+        if (process_ > 0) {
+            ::kill(process_, SIGKILL);
+            ::waitpid(process_, nullptr, 0);
+            process_ = 0;
+        }
+    }
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        return endpoint_;
+    }
+
+private:
+    std::filesystem::path settings_;
+    std::filesystem::path log_;
+    asio::ip::tcp::endpoint endpoint_;
+    pid_t process_ = 0;
+};
+
+/// Lasts as long as the process: suspended coroutines refer to it.
+class ProcessWorld
+{
+public:
+    ProcessWorld() : store_(reactor_.get_executor())
+    {
+        store_.put("op/config", CONFIG);
+        for (size_t i = 0; i < UPSTREAMS; ++i) {
+            upstreams_.push_back(std::make_unique<CrashableUpstream>(
+                reactor_.get_executor(), "u" + std::to_string(i), [this](const ReceivedRequest &received) { return behaviour(received); },
+                [this, i] { registerUpstream(i); }));
+            registerUpstream(i);
+        }
+        std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
+        folder_ = ::mkdtemp(pattern.data());
+        const uint16_t peerPort = freePort(reactor_, "127.72.0.1");
+        for (size_t number = 1; number <= GATEWAYS; ++number) {
+            gateways_.push_back(std::make_unique<GatewayProcess>(reactor_, number, store_.address(), peerPort, folder_));
+        }
+    }
+
+    void startAll()
+    {
+        for (const auto &gateway : gateways_) {
+            gateway->start();
+        }
+    }
+
+    void killAll()
+    {
+        for (const auto &gateway : gateways_) {
+            gateway->kill();
+        }
+    }
+
+    /// Ends the processes and removes what they wrote.
+    void end()
+    {
+        killAll();
+        std::filesystem::remove_all(folder_);
+    }
+
+    void send(const std::string &path, const std::string &body, std::function<void(const CallerResult &)> onEnd)
+    {
+        static int number = 0;
+        const std::string bytes = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r" + std::to_string(++number)
+            + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const asio::ip::tcp::endpoint endpoint = gateways_[random_() % gateways_.size()]->endpoint();
+        asio::co_spawn(reactor_, exchangeOnce(reactor_.get_executor(), endpoint, bytes, std::move(onEnd)), asio::detached);
+    }
+
+    void run(milliseconds duration)
+    {
+        reactor_.run_for(duration);
+    }
+
+    /// True when all gateways answer a request.
+    bool allServe(milliseconds within)
+    {
+        const framework::Instant end = framework::monotonicNow() + within;
+        size_t served = 0;
+        while (served < 4 * GATEWAYS && framework::monotonicNow() < end) {
+            send("/safe/probe", "sound", [&served](const CallerResult &result) { served = result.status == 200 ? served + 1 : 0; });
+            run(milliseconds{100});
+        }
+        return served >= 4 * GATEWAYS;
+    }
+
+    std::vector<framework::Instant> crashes() const
+    {
+        std::vector<framework::Instant> all;
+        for (const auto &upstream : upstreams_) {
+            all.insert(all.end(), upstream->crashedAt.begin(), upstream->crashedAt.end());
+        }
+        std::ranges::sort(all);
+        return all;
+    }
+
+    const StoreStandIn &store() const
+    {
+        return store_;
+    }
+
+    std::vector<framework::Instant> arrivedAt; ///< Of the crashing request, at upstreams.
+
+private:
+    Behaviour behaviour(const ReceivedRequest &received)
+    {
+        if (received.body != CRASHING_BODY) {
+            return Behaviour::Answer;
+        }
+        arrivedAt.push_back(framework::monotonicNow());
+        return Behaviour::Crash;
+    }
+
+    void registerUpstream(size_t index)
+    {
+        const std::string prefix = "servers/u" + std::to_string(index) + "-";
+        for (const std::string &key : store_.keys(prefix)) {
+            store_.remove(key);
+        }
+        store_.put("servers/" + upstreams_[index]->id(), upstreams_[index]->registration("plain"));
+    }
+
+    asio::io_context reactor_;
+    StoreStandIn store_;
+    std::vector<std::unique_ptr<CrashableUpstream>> upstreams_;
+    std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+    std::filesystem::path folder_;
+    std::minstd_rand random_{1};
+};
+
+bool isQuarantined(const CallerResult &result)
+{
+    return result.body.find("Quarantined") != std::string::npos;
+}
+} // namespace
+
+TEST_GROUP(GatewayProcesses)
+{
+    ProcessWorld *world = nullptr;
+
+    void setup() override
+    {
+        static auto &worlds = *new std::vector<ProcessWorld *>;
+        worlds.push_back(new ProcessWorld);
+        world = worlds.back();
+        world->startAll();
+        CHECK_TRUE(world->allServe(seconds{20}));
+    }
+
+    void teardown() override
+    {
+        world->end();
+    }
+
+    void play(milliseconds duration)
+    {
+        const framework::Instant end = framework::monotonicNow() + duration;
+        while (framework::monotonicNow() < end) {
+            world->send("/unsafe/x", CRASHING_BODY, [](const CallerResult &) {});
+            world->run(milliseconds{250});
+        }
+    }
+};
+
+TEST(GatewayProcesses, aCrashingRequestIsNotSentOnAlsoAfterAllGatewaysHaveEnded)
+{
+    play(CONTACT + seconds{4});
+    const std::vector<framework::Instant> crashes = world->crashes();
+    CHECK(crashes.size() >= CRASHES_TO_CONVICT);
+    const framework::Instant from = crashes[CRASHES_TO_CONVICT - 1] + CONTACT;
+    const auto later = std::ranges::count_if(world->arrivedAt, [from](framework::Instant at) { return at > from; });
+    CHECK_TRUE_TEXT(later <= SENT_AFTER_CONTACT, ("sent " + std::to_string(later) + " times more, " + std::to_string(crashes.size()) + " crashes").c_str());
+    LONGS_EQUAL(1, world->store().keys("daisymount/convictions/").size());
+
+    world->killAll();
+    world->run(milliseconds{500});
+    world->startAll();
+    CHECK_TRUE(world->allServe(seconds{20}));
+    const size_t arrived = world->arrivedAt.size();
+    int refused = 0;
+    for (int i = 0; i < 8; ++i) {
+        world->send("/unsafe/x", CRASHING_BODY, [&](const CallerResult &result) { refused += result.status == 503 && isQuarantined(result) ? 1 : 0; });
+        world->run(milliseconds{100});
+    }
+    LONGS_EQUAL(8, refused);
+    LONGS_EQUAL(arrived, world->arrivedAt.size());
+}
--- /dev/null
+++ b/src/gateway/tests/storestandin.h
@@ -0,0 +1,228 @@
+// A stand-in of the platform's store after its published protocol: items with revisions, leases, watches, all-or-nothing transactions.
+
+#pragma once
+
+#include "framework/json.h"
+#include "gatewayfixture.h"
+#include "platform/storecodec.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisymount::gateway::tests
+{
+
+/// Lasts as long as the reactor runs.
+class StoreStandIn
+{
+public:
+    explicit StoreStandIn(asio::any_io_executor executor)
+        : listener_(std::make_unique<ScriptedUpstream>(
+            executor, [this](transport::ConnectionPtr connection, ReceivedRequest request) { return serve(std::move(connection), std::move(request)); }))
+    { }
+
+    std::string address() const
+    {
+        return listener_->address();
+    }
+
+    /// What the operator and the upstreams write.
+    void put(const std::string &key, const std::string &value, int64_t lease = 0)
+    {
+        ++revision_;
+        items_[key] = {platform::encodeBase64(value), revision_, lease};
+        history_.push_back({revision_, key});
+    }
+
+    void remove(const std::string &key)
+    {
+        if (items_.erase(key) > 0) {
+            ++revision_;
+            history_.push_back({revision_, key});
+        }
+    }
+
+    std::vector<std::string> keys(std::string_view prefix) const
+    {
+        std::vector<std::string> found;
+        for (const auto &[key, item] : items_) {
+            if (key.starts_with(prefix)) {
+                found.push_back(key);
+            }
+        }
+        return found;
+    }
+
+private:
+    struct Item
+    {
+        std::string value; ///< Base64.
+        int64_t revision = 0;
+        int64_t lease = 0;
+    };
+
+    struct Change
+    {
+        int64_t revision = 0;
+        std::string key;
+    };
+
+    struct Lease
+    {
+        framework::milliseconds ttl{0};
+        framework::Instant end{0};
+    };
+
+    struct Reply
+    {
+        int status = 200;
+        Json::Value body = Json::objectValue;
+    };
+
+    asio::awaitable<void> serve(transport::ConnectionPtr connection, ReceivedRequest request)
+    {
+        endLeases();
+        Reply reply;
+        if (request.target.starts_with("/-/kv-watch")) {
+            reply = co_await watch(request.target);
+        } else if (request.target.starts_with("/-/kv-range")) {
+            reply.body["items"] = Json::arrayValue;
+            for (const std::string &key : keys(transport::queryValue(request.target, "prefix"))) {
+                reply.body["items"].append(row(key));
+            }
+            reply.body["has_more"] = false;
+            reply.body["store_revision"] = static_cast<Json::Int64>(revision_);
+        } else {
+            reply = change(request);
+        }
+        const std::string body = framework::writeJson(reply.body);
+        co_await send(connection,
+                      "HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+                          + "\r\n\r\n" + body);
+    }
+
+    asio::awaitable<Reply> watch(std::string target)
+    {
+        const std::string prefix = transport::queryValue(target, "prefix");
+        const int64_t after = std::stoll(transport::queryValue(target, "after"));
+        const framework::Instant end = framework::monotonicNow() + framework::milliseconds{std::stoll(transport::queryValue(target, "wait_ms"))};
+        Reply reply;
+        reply.body["events"] = Json::arrayValue;
+        while (reply.body["events"].empty() && framework::monotonicNow() < end) {
+            for (const Change &change : history_) {
+                if (change.revision > after && change.key.starts_with(prefix)) {
+                    reply.body["events"].append(row(change.key));
+                }
+            }
+            if (reply.body["events"].empty()) {
+                co_await transport::sleepFor(std::chrono::milliseconds{20});
+            }
+        }
+        reply.body["store_revision"] = static_cast<Json::Int64>(revision_);
+        co_return reply;
+    }
+
+    Reply change(const ReceivedRequest &request)
+    {
+        constexpr std::string_view KEEP = "/-/kv-keep/";
+        constexpr std::string_view END = "/-/kv-lease-end/";
+        Json::Value asked;
+        framework::attempt([&]() -> framework::Result<void> {
+            BOOST_LEAF_ASSIGN(asked, framework::parseJsonObject(request.body));
+            return {};
+        });
+        Reply reply;
+        if (request.target == "/-/kv-lease") {
+            const framework::milliseconds ttl{asked["ttl_ms"].asInt64()};
+            leases_[++lastLease_] = {ttl, framework::monotonicNow() + ttl};
+            reply.body["lease"] = static_cast<Json::Int64>(lastLease_);
+            reply.body["ttl_ms"] = static_cast<Json::Int64>(ttl.count());
+        } else if (request.target.starts_with(KEEP)) {
+            const auto lease = leases_.find(std::stoll(request.target.substr(KEEP.size())));
+            if (lease == leases_.end()) {
+                return {404, Json::objectValue};
+            }
+            lease->second.end = framework::monotonicNow() + lease->second.ttl;
+            reply.body["ttl_ms"] = static_cast<Json::Int64>(lease->second.ttl.count());
+        } else if (request.target.starts_with(END)) {
+            endLease(std::stoll(request.target.substr(END.size())));
+        } else if (request.target == "/-/kv-txn") {
+            return transaction(asked);
+        }
+        return reply;
+    }
+
+    Reply transaction(const Json::Value &asked)
+    {
+        Reply reply;
+        for (const Json::Value &expected : asked["expected"]) {
+            const auto item = items_.find(expected["key"].asString());
+            if ((item == items_.end() ? 0 : item->second.revision) != expected["revision"].asInt64()) {
+                return {412, Json::objectValue};
+            }
+        }
+        for (const Json::Value &write : asked["writes"]) {
+            const int64_t lease = write["lease"].asInt64();
+            if (lease != 0 && !leases_.contains(lease)) {
+                return {404, Json::objectValue};
+            }
+        }
+        for (const Json::Value &write : asked["writes"]) {
+            put(write["key"].asString(), platform::decodeBase64(write["value"].asString()).value_or(""), write["lease"].asInt64());
+        }
+        for (const Json::Value &key : asked["remove"]) {
+            remove(key.asString());
+        }
+        reply.body["revision"] = static_cast<Json::Int64>(revision_);
+        return reply;
+    }
+
+    Json::Value row(const std::string &key) const
+    {
+        Json::Value json;
+        json["key"] = key;
+        const auto item = items_.find(key);
+        if (item == items_.end()) {
+            json["deleted"] = true;
+            json["revision"] = static_cast<Json::Int64>(revision_);
+        } else {
+            json["value"] = item->second.value;
+            json["revision"] = static_cast<Json::Int64>(item->second.revision);
+            json["lease"] = static_cast<Json::Int64>(item->second.lease);
+        }
+        return json;
+    }
+
+    void endLease(int64_t id)
+    {
+        leases_.erase(id);
+        for (const std::string &key : keys("")) {
+            if (items_[key].lease == id) {
+                remove(key);
+            }
+        }
+    }
+
+    void endLeases()
+    {
+        std::vector<int64_t> ended;
+        for (const auto &[id, lease] : leases_) {
+            if (framework::monotonicNow() >= lease.end) {
+                ended.push_back(id);
+            }
+        }
+        std::ranges::for_each(ended, [this](int64_t id) { endLease(id); });
+    }
+
+    std::map<std::string, Item> items_;
+    std::vector<Change> history_;
+    std::map<int64_t, Lease> leases_;
+    int64_t lastLease_ = 0;
+    int64_t revision_ = 1;
+    std::unique_ptr<ScriptedUpstream> listener_;
+};
+
+} // namespace daisymount::gateway::tests
