--- a/src/dispatch/internal/retryshare.cpp
+++ b/src/dispatch/internal/retryshare.cpp
@@ -21,7 +21,7 @@
 void RetryShare::setEntries(int entries, framework::Instant now)
 {
     // What is assumed before the other entries have been met is no count.
-    if (now - startedAt_ < options_.window) {
+    if (isStarting(now)) {
         return;
     }
     while (!entryCounts_.empty() && entryCounts_.back().entries <= entries) {
@@ -47,7 +47,7 @@
 {
     Counts &known = counts(service);
     // An earlier process at this entry may have spent its part of the slack in the same window.
-    const double slack = now - startedAt_ < options_.window ? 0.0 : options_.slack / entries();
+    const double slack = isStarting(now) ? 0.0 : options_.slack / entries();
     const double budget = options_.ratio * static_cast<double>(known.requests.total(now)) + slack;
     if (static_cast<double>(known.repeats.total(now) + 1) > USED_PART * budget) {
         return false;
@@ -56,6 +56,11 @@
     return true;
 }
 
+bool RetryShare::isStarting(framework::Instant now) const
+{
+    return now - startedAt_ < options_.window;
+}
+
 RetryShare::Counts &RetryShare::counts(std::string_view service)
 {
     const auto found = counts_.find(service);
--- a/src/dispatch/retryshare.h
+++ b/src/dispatch/retryshare.h
@@ -32,6 +32,8 @@
     bool tryRepeat(std::string_view service, framework::Instant now);
     /// Entries that the slack is divided by.
     int entries() const;
+    /// Less than a window has passed since the start: there is no slack yet.
+    bool isStarting(framework::Instant now) const;
 
 private:
     struct Counts
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -239,7 +239,10 @@
                              "repeat_denied",
                              ResultCode::RetryBudgetSpent,
                              request_.facts.requestId,
-                             {{"service", service_}, {"entries", std::to_string(context_.retries.entries())}, {"attempts", std::to_string(tried_.size())}}});
+                             {{"service", service_},
+                              {"entries", std::to_string(context_.retries.entries())},
+                              {"starting", context_.retries.isStarting(now) ? "yes" : "no"},
+                              {"attempts", std::to_string(tried_.size())}}});
     }
     return allowed;
 }
