--- a/src/crashattribution/internal/crashattribution.cpp
+++ b/src/crashattribution/internal/crashattribution.cpp
@@ -17,6 +17,9 @@
 /// What two entries know of the moment of one answer differs by less: by the way of the message and a short pause of a process.
 constexpr milliseconds SAME_MOMENT{1'000};
 
+/// What is told in whole milliseconds, by way of other entries, is this exact.
+constexpr milliseconds CLOCK_TOLERANCE{5};
+
 milliseconds between(Instant from, Instant to)
 {
     return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(to - from));
@@ -35,7 +38,7 @@
     size_t count = 0;
     Instant last = Instant::min();
     for (const auto &[crashedAt, sentAt] : spans) {
-        if (count == 0 || sentAt >= last) {
+        if (count == 0 || sentAt + CLOCK_TOLERANCE >= last) {
             ++count;
             last = crashedAt;
         }
--- a/src/crashattribution/tests/crashattribution_tests.cpp
+++ b/src/crashattribution/tests/crashattribution_tests.cpp
@@ -133,6 +133,17 @@
     LONGS_EQUAL(3, core.crashes(CRASHER, now));
 }
 
+TEST(CrashAttribution, repeatsWithinOneExchangeCountAlsoWhereTheyAreToldOf)
+{
+    CrashAttribution other{{}};
+    for (int i = 0; i < 3; ++i) {
+        core.onCrash(CRASHER, upstream(i), now, now + std::chrono::microseconds{2'900}, now);
+        now += std::chrono::microseconds{2'950};
+    }
+    other.merge(core.toTell(now + milliseconds{40}), now + milliseconds{41});
+    LONGS_EQUAL(3, other.crashes(CRASHER, now));
+}
+
 TEST(CrashAttribution, anAnswerClears)
 {
     crash({SOUND}, upstream(1));
