News of crashes: what all entries know is told in one round of four

Cause: convictions and standing suspects were told in each heartbeat for ten minutes; only an entry that starts later lacks them.

--- a/src/crashattribution/crashattribution.h
+++ b/src/crashattribution/crashattribution.h
@@ -29,6 +29,8 @@
     size_t commonCauseCrashes = 2;
     milliseconds memory{600'000}; ///< Sightings and convictions are forgotten after this.
     milliseconds tellFor{4'000}; ///< How long news is passed on after it was learnt; it reaches all entries in a few rounds.
+    /// Afterwards convictions, and what is needed to convict, are told in one round of so many: only an entry that starts later lacks them.
+    unsigned oldNewsRounds = 4;
     size_t mostSuspects = 1'024;
     size_t mostCrashes = 2'048;
     size_t mostTold = 32; ///< Of each kind in one message, so that it fits into a packet or two.
@@ -88,6 +90,7 @@
         std::optional<Instant> answeredAt; ///< Sightings up to then are void.
         Instant answerLearntAt{0};
         std::optional<Instant> convictedAt; ///< Later than answeredAt, else void.
+        Instant convictionLearntAt{0};
 
         bool isConvicted() const
         {
--- a/src/crashattribution/internal/crashattribution.cpp
+++ b/src/crashattribution/internal/crashattribution.cpp
@@ -98,6 +98,7 @@
             continue;
         }
         suspect.convictedAt = now - conviction.age;
+        suspect.convictionLearntAt = now;
         if (suspect.isConvicted()) {
             convicted.push_back(conviction.fingerprint);
         }
@@ -128,7 +129,9 @@
         verdicts.push_back(std::move(verdict));
     }
     for (const Verdict &verdict : verdicts) {
-        suspects_[verdict.fingerprint].convictedAt = now;
+        Suspect &convicted = suspects_[verdict.fingerprint];
+        convicted.convictedAt = now;
+        convicted.convictionLearntAt = now;
     }
     updateExplained();
     return verdicts;
@@ -162,17 +165,18 @@
 CrashNews CrashAttribution::toTell(Instant now)
 {
     CrashNews news;
+    const bool alsoOld = random_() % options_.oldNewsRounds == 0;
+    const auto isNew = [&](Instant learntAt) { return now - learntAt <= options_.tellFor; };
     for (const auto &[fingerprint, suspect] : suspects_) {
-        if (suspect.isConvicted()) {
+        if (suspect.isConvicted() && (alsoOld || isNew(suspect.convictionLearntAt))) {
             news.convictions.push_back({fingerprint, between(*suspect.convictedAt, now)});
         }
-        if (suspect.answeredAt && now - suspect.answerLearntAt <= options_.tellFor) {
+        if (suspect.answeredAt && isNew(suspect.answerLearntAt)) {
             news.clearances.push_back({fingerprint, between(*suspect.answeredAt, now)});
         }
-        // An entry that starts later has to learn what is needed to convict.
-        const bool always = !suspect.isConvicted() && suspect.sightings.size() >= CRASHES_TO_SUSPECT;
+        const bool neededToConvict = !suspect.isConvicted() && suspect.sightings.size() >= CRASHES_TO_SUSPECT;
         for (const auto &[incarnation, sighting] : suspect.sightings) {
-            if (always || now - sighting.learntAt <= options_.tellFor) {
+            if (isNew(sighting.learntAt) || (alsoOld && neededToConvict)) {
                 news.sightings.push_back({fingerprint, incarnation, between(sighting.crashedAt, now), between(sighting.sentAt, sighting.crashedAt)});
             }
         }
