Sampled ranks: those that have requests, own zone first

Hypothesis: the own zone was taken for the fleet. Change: SampledRanks, a core: a rank whose counts stood still in three reads is idle; the own zone is read where 12 of its ranks have requests, else ranks of all zones; one idle rank is read along in turn.

--- a/src/expertmap/grouptypes.h
+++ b/src/expertmap/grouptypes.h
@@ -42,6 +42,9 @@
     std::vector<std::vector<int64_t>> chosen;
 };
 
+/// Sum over all sets and experts.
+int64_t totalSelections(const ExpertCounts &counts);
+
 /// Experts of one rank in the current map, by set.
 struct RankMap
 {
--- a/src/expertmap/internal/grouptypes.cpp
+++ b/src/expertmap/internal/grouptypes.cpp
@@ -2,9 +2,20 @@
 
 #include "expertmap/grouptypes.h"
 
+#include <numeric>
+
 namespace daisymount::expertmap
 {
 
+int64_t totalSelections(const ExpertCounts &counts)
+{
+    int64_t total = 0;
+    for (const std::vector<int64_t> &chosen : counts.chosen) {
+        total = std::accumulate(chosen.begin(), chosen.end(), total);
+    }
+    return total;
+}
+
 std::string_view toString(OrderKind kind)
 {
     switch (kind) {
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -281,6 +281,7 @@
     const bool sameMap = std::ranges::all_of(reports, [&](const auto &report) { return report.mapVersion == version; });
     if (epoch != group.epoch) {
         group.samples.onNewEpoch();
+        group.sampledRanks.reset(inOwnZone(ranks));
         group.epoch = epoch;
         group.nextSample = Instant{0};
     }
@@ -309,6 +310,16 @@
                          {{"group", group.name}, {"epoch", std::to_string(epoch)}, {"ranks", std::to_string(size)}, {"map", std::to_string(version)}}});
 }
 
+std::vector<bool> MapController::inOwnZone(std::span<const std::string> upstreams) const
+{
+    std::vector<bool> sameZone;
+    for (const std::string &upstream : upstreams) {
+        const auto known = context_.view.upstreams().find(upstream);
+        sameZone.push_back(known != context_.view.upstreams().end() && known->second.upstream.zone == context_.settings.zone);
+    }
+    return sameZone;
+}
+
 bool MapController::ranksUnchanged(const Group &group) const
 {
     for (size_t rank = 0; rank < group.ranks.size(); ++rank) {
@@ -461,23 +472,14 @@
         return;
     }
     const bool agents = agentsReachable(*group, now);
-    std::vector<int> sameZone;
-    std::vector<int> all;
-    for (size_t rank = 0; rank < group->ranks.size(); ++rank) {
-        const auto known = context_.view.upstreams().find(group->ranks[rank]);
-        const bool inSameZone = known != context_.view.upstreams().end() && known->second.upstream.zone == context_.settings.zone;
-        (inSameZone ? sameZone : all).push_back(static_cast<int>(rank));
-    }
-    all.insert(all.begin(), sameZone.begin(), sameZone.end());
-    const bool sameZoneSuffices = agents && sameZone.size() >= SAMPLED_RANKS;
-    group->nextSample = now + (sameZoneSuffices ? SAMPLE_INTERVAL_SAME_ZONE : agents ? SAMPLE_INTERVAL : REMOTE_SAMPLE_INTERVAL);
-    std::vector<int> &read = sameZoneSuffices ? sameZone : all;
-    read.resize(std::min<size_t>(read.size(), sameZoneSuffices ? SAMPLED_RANKS_SAME_ZONE : agents ? SAMPLED_RANKS : REMOTE_SAMPLED_RANKS));
-    if (!read.empty() && group->timedRank != read.front()) {
-        group->timedRank = read.front();
+    const auto [ranks, sameZoneOnly]
+        = agents ? group->sampledRanks.select(SAMPLED_RANKS, SAMPLED_RANKS_SAME_ZONE) : group->sampledRanks.select(REMOTE_SAMPLED_RANKS, REMOTE_SAMPLED_RANKS);
+    group->nextSample = now + (!agents ? REMOTE_SAMPLE_INTERVAL : sameZoneOnly ? SAMPLE_INTERVAL_SAME_ZONE : SAMPLE_INTERVAL);
+    if (!ranks.empty() && group->timedRank != ranks.front()) {
+        group->timedRank = ranks.front();
         group->timedPass = 0;
     }
-    for (const int rank : read) {
+    for (const int rank : ranks) {
         asio::co_spawn(context_.executor, readCounts(group, rank), asio::detached);
     }
 }
@@ -507,6 +509,7 @@
             group->timedPass = counts.lastPass;
             group->timedPassAt = now;
         }
+        group->sampledRanks.onRead(rank, expertmap::totalSelections(counts));
         group->samples.onCounts(rank, counts);
         return {};
     });
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -6,12 +6,14 @@
 #include "expertmap/loadsamples.h"
 #include "expertmap/passwatch.h"
 #include "expertmap/mapsearch.h"
+#include "expertmap/sampledranks.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/maplease.h"
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,7 @@
         std::vector<expertmap::RankReport> reports; ///< By rank, from the last time that all ranks were read.
         int64_t epoch = 0;
         expertmap::LoadSamples samples{{}};
+        expertmap::SampledRanks sampledRanks;
         expertmap::GroupMap map; ///< Current map.
         int64_t mapVersion = 0;
         bool mapUnknown = false; ///< The current map was set by an earlier controller and has to be read from the ranks.
@@ -68,6 +71,8 @@
     void driveChange(const std::shared_ptr<Group> &group, Instant now);
     void finishChange(Group &group, Instant now);
     void readSamples(const std::shared_ptr<Group> &group, Instant now);
+    /// Tells of each upstream whether it is in the zone of this gateway.
+    std::vector<bool> inOwnZone(std::span<const std::string> upstreams) const;
     std::vector<expertmap::LoadSample> samplesToPlanOn(const Group &group) const;
     /// True if the skew of the newest samples is well above the planned one.
     bool demandShifted(const Group &group) const;
