Refused callers are told to return by the cause of the refusal

Cause (log): 228 requests were answered 503 with Retry-After 0.3 s, 104 more by busy or cold upstreams with 0.4 to 1.6 s; callers return once, into the same outage. Change: RetryDelay, a core taken out of EngineAdmission: 0.8 to 0.97 of the longest accepted delay in an outage, 0.3 to 0.9 when busy, also for refusals without a configuration, without upstreams, by cold limits and by a spent retry budget. Red before: callersOfAShortOutageReturnAfterIt (played outage of 2 s; a fixed 0.3 s brings 15 % back after it, computed).

--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -5,11 +5,11 @@
 
 #pragma once
 
+#include "dispatch/retrydelay.h"
 #include "framework/clock.h"
 
 #include <cstdint>
 #include <map>
-#include <random>
 #include <string>
 #include <string_view>
 
@@ -54,7 +54,7 @@
 struct AdmissionDecision
 {
     Admission admission = Admission::Admit;
-    milliseconds retryAfter{0}; ///< With Refuse: below one third of the remaining time, the longest delay that callers accept.
+    milliseconds retryAfter{0}; ///< With Refuse.
 };
 
 class EngineAdmission
@@ -68,10 +68,9 @@
     /// Maximum number of requests in flight at the engines.
     double slotLimit(const AdmissionView &view) const;
     bool isWithinEntryShare(const AdmissionView &view) const;
-    milliseconds randomDelay(milliseconds from, milliseconds to);
 
     AdmissionOptions options_;
-    std::minstd_rand random_;
+    RetryDelay retryDelay_;
 };
 
 /// Detects retries of rejected requests by their shorter remaining deadline.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatcher.h"
 #include "dispatch/engineadmission.h"
 #include "dispatch/passpace.h"
+#include "dispatch/retrydelay.h"
 #include "dispatch/retryshare.h"
 #include "fleet/fleetview.h"
 #include "fleet/nodesettings.h"
@@ -30,6 +31,7 @@
     dispatch::Dispatcher dispatcher;
     dispatch::EngineAdmission admission;
     dispatch::RetryDetector retryDetector;
+    dispatch::RetryDelay retryDelay;
     dispatch::PassTimeTracker passTimeTracker;
     dispatch::RetryBudgetShare retryBudget;
     UpstreamPool pool;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -23,9 +23,15 @@
 constexpr milliseconds MIN_ATTEMPT_TIME{20};
 /// Interval at which a waiting request asks for admission again.
 constexpr milliseconds SLOT_POLL_INTERVAL{12};
-/// Retry-After is the minimum plus a random part of the span, so that refused callers do not all return at once.
-constexpr int64_t RETRY_AFTER_MIN_MS = 300;
-constexpr int64_t RETRY_AFTER_SPAN_MS = 1'200;
+/// Retry-After for a request that is refused when its time is over.
+constexpr milliseconds LATE_RETRY_AFTER{300};
+/// Assumed remaining time of a caller whose request states none, for the choice of its Retry-After.
+constexpr milliseconds ASSUMED_TIME_LEFT{4'000};
+
+dispatch::RefusalCause causeOf(ResultCode code)
+{
+    return code == ResultCode::NoUpstream || code == ResultCode::ConfigurationStale ? dispatch::RefusalCause::Outage : dispatch::RefusalCause::Busy;
+}
 
 std::string secondsText(milliseconds duration)
 {
@@ -61,7 +67,8 @@
 asio::awaitable<bool> Exchange::run()
 {
     if (!context_.view.hasConfig()) {
-        co_return co_await sendRefusal(ResultCode::ConfigurationStale, milliseconds{RETRY_AFTER_MIN_MS});
+        co_return co_await sendRefusal(ResultCode::ConfigurationStale,
+                                       context_.retryDelay.choose(dispatch::RefusalCause::Outage, request_.headers.deadline.value_or(ASSUMED_TIME_LEFT)));
     }
     match_ = context_.view.findRoute(request_.host, request_.path());
     if (match_.route == nullptr) {
@@ -164,7 +171,7 @@
     int sendCount = 0;
     AttemptOutcome last = AttemptOutcome::NotRun;
     ResultCode lastCode = ResultCode::NoUpstream;
-    milliseconds retryAfter{RETRY_AFTER_MIN_MS + std::uniform_int_distribution<int64_t>(0, RETRY_AFTER_SPAN_MS)(context_.random)};
+    milliseconds minRetryAfter{0};
     while (true) {
         const Instant now = framework::monotonicNow();
         if (callerDisconnected_) {
@@ -177,13 +184,13 @@
         }
         if (const std::optional<milliseconds> timeLeft = quarantineTimeLeft(now)) {
             lastCode = ResultCode::Quarantined;
-            retryAfter = *timeLeft;
+            minRetryAfter = *timeLeft;
             break;
         }
         auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0}, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sendCount == 0 ? refusal->code : ResultCode::UpstreamFull;
-            retryAfter = refusal->retryAfter;
+            minRetryAfter = refusal->retryAfter;
             break;
         }
         if (sendCount > 0 && !consumeRetryBudget(now)) {
@@ -208,7 +215,8 @@
         co_return canKeepConnection();
     }
     if (last == AttemptOutcome::NotRun && !relay_.started() && !failureResponse_ && !mayHaveRun_) {
-        co_return co_await sendRefusal(lastCode, retryAfter);
+        const Duration left = callerDeadline_ - framework::monotonicNow();
+        co_return co_await sendRefusal(lastCode, std::max(minRetryAfter, context_.retryDelay.choose(causeOf(lastCode), left)));
     }
     co_return co_await finishUnsuccessful(last);
 }
@@ -297,7 +305,7 @@
         if (mayHaveRun_) {
             co_return co_await sendFailure(ResultCode::DeadlinePassed, GATEWAY_TIMEOUT);
         }
-        co_return co_await sendRefusal(ResultCode::DeadlinePassed, milliseconds{RETRY_AFTER_MIN_MS});
+        co_return co_await sendRefusal(ResultCode::DeadlinePassed, LATE_RETRY_AFTER);
     }
     co_return co_await sendFailure(ResultCode::OutcomeUnknown, BAD_GATEWAY);
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -69,6 +69,7 @@
     , view(platform::fleetDecoder())
     , dispatcher({settings.zone, settings.bounds.coldOvershoot, settings.bounds.coldSlack, seed})
     , admission({}, seed)
+    , retryDelay(seed)
     , retryBudget({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow}, framework::monotonicNow())
     , pool(reactor)
     , httpClient(reactor)
