--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -123,6 +123,7 @@
     Duration timeToFirstByte_{0};
     int eventsRecorded_ = 0; ///< Events of events_ that recordEventTimes() has already processed.
     Instant lastRecordedAt_{0};
+    Duration longestPause_{0}; ///< Longest time between two events of the stream.
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -21,6 +21,8 @@
 
     /// Records a request's final response. @p route is its name in the configuration, @p outcome the name of a result code.
     void onRequest(std::string_view route, std::string_view outcome, framework::Duration timeToFirstByte, framework::Duration totalTime);
+    /// Records the longest time between two events of a stream.
+    void onStreamPause(std::string_view route, framework::Duration pause);
     /// Records an attempt to send a request to an upstream. @p result is the name of its outcome.
     void onAttempt(std::string_view service, std::string_view result);
     /// Records a retry. @p allowed is false when the retry budget denied it.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -338,6 +338,9 @@
     const Duration total = framework::monotonicNow() - request_.receivedAt;
     const std::string_view route = match_.route != nullptr ? std::string_view(match_.route->name) : std::string_view("none");
     context_.metrics.onRequest(route, resultCodeInfo(code).name, timeToFirstByte_, total);
+    if (longestPause_.count() > 0) {
+        context_.metrics.onStreamPause(route, longestPause_);
+    }
     context_.log.report({"forwarding",
                          "answered",
                          code,
@@ -349,6 +352,7 @@
                           {"attempts", std::to_string(triedUpstreams_.size())},
                           {"events", std::to_string(events_.eventCount())},
                           {"first_ms", std::to_string(toMilliseconds(timeToFirstByte_).count())},
+                          {"longest_pause_ms", std::to_string(toMilliseconds(longestPause_).count())},
                           {"ms", std::to_string(toMilliseconds(total).count())},
                           {"config_revision", std::to_string(context_.view.configRevision())},
                           {"upstreams_revision", std::to_string(context_.view.upstreamsRevision())}}});
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -320,6 +320,9 @@
     // The time before the first event is queueing and prompt processing and does not measure a forward pass.
     const int passes = eventsRecorded_ > 0 ? events_.eventCount() - eventsRecorded_ : 0;
     context_.passTimeTracker.onEvents(service_, now - lastRecordedAt_, passes, now);
+    if (passes > 0) {
+        longestPause_ = std::max(longestPause_, now - lastRecordedAt_);
+    }
     eventsRecorded_ = events_.eventCount();
     lastRecordedAt_ = now;
 }
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 const prometheus::Histogram::BucketBoundaries LATENCY_BUCKETS_S = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0};
+const prometheus::Histogram::BucketBoundaries PAUSE_BUCKETS_S = {0.04, 0.06, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0};
 
 double seconds(framework::Duration duration)
 {
@@ -41,6 +42,10 @@
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("daisymount_state").Help("State by name.").Register(registry);
     prometheus::Family<prometheus::Histogram> &firstByteTime
         = prometheus::BuildHistogram().Name("daisymount_first_answer_seconds").Help("Time to the first byte of the answer.").Register(registry);
+    prometheus::Family<prometheus::Histogram> &longestPause = prometheus::BuildHistogram()
+                                                                  .Name("daisymount_stream_longest_pause_seconds")
+                                                                  .Help("Longest time between two events of a stream, by route.")
+                                                                  .Register(registry);
     prometheus::Family<prometheus::Histogram> &duration
         = prometheus::BuildHistogram().Name("daisymount_request_seconds").Help("Time to the end of the answer.").Register(registry);
 };
@@ -59,6 +64,11 @@
     }
 }
 
+void GatewayMetrics::onStreamPause(std::string_view route, framework::Duration pause)
+{
+    families_->longestPause.Add({{"route", std::string(route)}}, PAUSE_BUCKETS_S).Observe(seconds(pause));
+}
+
 void GatewayMetrics::onAttempt(std::string_view service, std::string_view result)
 {
     families_->attempts.Add({{"service", std::string(service)}, {"result", std::string(result)}}).Increment();
--- /dev/null
+++ b/src/gateway/internal/mapplanning.cpp
@@ -0,0 +1,261 @@
+// Samples the expert load of rank groups and plans their maps.
+
+#include "gateway/internal/mapcontrollercommon.h"
+
+#include "platform/enginecodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisymount::gateway
+{
+
+namespace
+{
+namespace asio = transport::asio;
+using framework::ResultCode;
+using transport::Duration;
+
+/// Measured pass times are clamped to this range, because longer ones include gaps of an idle or stopped group.
+constexpr milliseconds MIN_PASS_TIME{20};
+constexpr milliseconds MAX_PASS_TIME{300};
+/// Number of ranks read per round through agents, whose reads are not billed as probes. Ranks of the gateway's own zone come first, because traffic between
+/// zones is billed.
+constexpr int SAMPLED_RANKS = 12;
+constexpr int SAMPLED_RANKS_SAME_ZONE = 24;
+/// Time between two reads of a rank.
+constexpr milliseconds SAMPLE_INTERVAL{100};
+constexpr milliseconds SAMPLE_INTERVAL_SAME_ZONE{200};
+/// Without agents each read is billed and pauses the group briefly.
+constexpr int REMOTE_SAMPLED_RANKS = 2;
+constexpr milliseconds REMOTE_SAMPLE_INTERVAL{1'000};
+/// Ratio of the skew of the newest samples to the planned skew above which the demand has shifted to other experts.
+constexpr double SHIFT_RATIO = 1.15;
+constexpr double MEGABYTES_PER_GIGABYTE = 1'000.0;
+/// Weight of the newest measurement in the average pass time.
+constexpr double PASS_TIME_WEIGHT = 0.2;
+/// The search runs in slices, so that it does not delay the forwarding of requests.
+constexpr int PROPOSALS_PER_SLICE = 1'000;
+/// Time that a change may take to copy experts to one rank. The switch waits for the slowest rank, and demand moves in the meantime.
+constexpr milliseconds MAX_COPY_TIME{150};
+/// Number of the newest samples that a map is planned on after demand has shifted; older ones show the earlier demand.
+constexpr size_t SAMPLES_AFTER_SHIFT = 12;
+/// Time without a sample, although the group has requests, after which this is logged.
+constexpr milliseconds MAX_SAMPLE_GAP{2'000};
+/// Time for which a planned change waits until all ranks use the map of the change before it.
+constexpr milliseconds MAX_SETTLE_WAIT{400};
+
+/// Minimum gain of a change. Copying experts slows the passes down in the meantime, and its traffic is billed.
+struct ChangeThresholds
+{
+    double minGain; ///< Minimum predicted reduction of the skew.
+    double costPerGigabyte; ///< Reduction of the skew required for each copied gigabyte.
+};
+/// For short passes: load skew has no noticeable effect on requests.
+constexpr ChangeThresholds SHORT_PASS_THRESHOLDS{0.3, 0.038};
+/// For passes close to the permitted pause of a stream: balance is most valuable there.
+constexpr ChangeThresholds LONG_PASS_THRESHOLDS{0.1, 0.0154};
+/// Ratios of the mean pass time to the permitted pause at which the thresholds for short and long passes apply, with linear interpolation in between. Both
+/// are well below 1 because single passes take twice as long as the mean.
+constexpr double SHORT_PASS_RATIO = 0.44;
+constexpr double LONG_PASS_RATIO = 0.62;
+
+ChangeThresholds thresholdsAt(double passRatio)
+{
+    const double longPassShare = std::clamp((passRatio - SHORT_PASS_RATIO) / (LONG_PASS_RATIO - SHORT_PASS_RATIO), 0.0, 1.0);
+    return {std::lerp(SHORT_PASS_THRESHOLDS.minGain, LONG_PASS_THRESHOLDS.minGain, longPassShare),
+            std::lerp(SHORT_PASS_THRESHOLDS.costPerGigabyte, LONG_PASS_THRESHOLDS.costPerGigabyte, longPassShare)};
+}
+} // namespace
+
+std::vector<expertmap::LoadSample> MapController::samplesToPlanOn(const Group &group) const
+{
+    const auto &samples = group.samples.samples();
+    const size_t used = demandShifted(group) ? std::min(samples.size(), SAMPLES_AFTER_SHIFT) : samples.size();
+    return {samples.end() - static_cast<std::ptrdiff_t>(used), samples.end()};
+}
+
+bool MapController::demandShifted(const Group &group) const
+{
+    const auto &samples = group.samples.samples();
+    const auto newest = static_cast<std::ptrdiff_t>(std::min<size_t>(samples.size(), SAMPLES_PER_PLAN));
+    double skew = 0.0;
+    for (int set = 0; set < group.layout.sets; ++set) {
+        std::vector<expertmap::SetSample> loads;
+        for (auto sample = samples.end() - newest; sample != samples.end(); ++sample) {
+            loads.push_back((*sample)[static_cast<size_t>(set)]);
+        }
+        skew += expertmap::meanSampleSkew(group.map[static_cast<size_t>(set)], group.layout.experts, loads) / group.layout.sets;
+    }
+    return skew > SHIFT_RATIO * group.plannedSkew;
+}
+
+void MapController::readSamples(const std::shared_ptr<Group> &group, Instant now)
+{
+    if (now < group->nextSample) {
+        return;
+    }
+    const bool agents = agentsReachable(*group, now);
+    const auto [ranks, sameZoneOnly]
+        = agents ? group->sampledRanks.select(SAMPLED_RANKS, SAMPLED_RANKS_SAME_ZONE) : group->sampledRanks.select(REMOTE_SAMPLED_RANKS, REMOTE_SAMPLED_RANKS);
+    group->nextSample = now + (!agents ? REMOTE_SAMPLE_INTERVAL : sameZoneOnly ? SAMPLE_INTERVAL_SAME_ZONE : SAMPLE_INTERVAL);
+    if (!ranks.empty() && group->timedRank != ranks.front()) {
+        group->timedRank = ranks.front();
+        group->timedPass = 0;
+    }
+    for (const int rank : ranks) {
+        asio::co_spawn(context_.executor, readCounts(group, rank), asio::detached);
+    }
+}
+
+void MapController::reportSampleGap(Group &group, Instant now)
+{
+    if (!hasRequests(group, now)) {
+        group.lastSampleAt = now;
+    }
+    if (now - group.lastSampleAt <= MAX_SAMPLE_GAP || group.sampleGapLogged) {
+        return;
+    }
+    group.sampleGapLogged = true;
+    context_.log.report({"maps",
+                         "no_samples",
+                         ResultCode::UpstreamFailed,
+                         "",
+                         {{"group", group.name},
+                          {"map", std::to_string(group.mapVersion)},
+                          {"idle_ranks", std::to_string(group.sampledRanks.idleRanks())},
+                          {"ranks", std::to_string(group.ranks.size())}}});
+}
+
+asio::awaitable<void> MapController::readCounts(std::shared_ptr<Group> group, int rank)
+{
+    // The ranks may have been cleared between the spawning and the start of this coroutine.
+    if (group->ranks.size() <= static_cast<size_t>(rank)) {
+        co_return;
+    }
+    const transport::HttpReply reply = co_await callRank(group->ranks[static_cast<size_t>(rank)], platform::countsCall(), REPORT_TIMEOUT);
+    const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
+        BOOST_LEAF_AUTO(counts, platform::decodeCounts(reply.status, reply.body, group->layout.sets));
+        if (counts.epoch != group->epoch) {
+            group->reportsStale = true;
+            return {};
+        }
+        const Instant now = framework::monotonicNow();
+        if (rank == group->timedRank) {
+            if (counts.lastPass != group->timedPass) {
+                group->passStallDetector.onProgress(now);
+            }
+            if (group->timedPass > 0 && counts.lastPass > group->timedPass) {
+                const Duration measured = (now - group->timedPassAt) / (counts.lastPass - group->timedPass);
+                group->passTime += PASS_TIME_WEIGHT * (std::clamp<Duration>(measured, MIN_PASS_TIME, MAX_PASS_TIME) - group->passTime);
+            }
+            group->timedPass = counts.lastPass;
+            group->timedPassAt = now;
+        }
+        group->sampledRanks.onRead(rank, expertmap::totalSelections(counts));
+        if (group->samples.onCounts(rank, counts)) {
+            group->lastSampleAt = now;
+            group->sampleGapLogged = false;
+        }
+        return {};
+    });
+    if (!read) {
+        context_.log.report({"maps", "no_counts", read.code, "", {{"group", group->name}, {"rank", std::to_string(rank)}, {"detail", read.detail}}});
+        group->reportsStale = true;
+    }
+}
+
+asio::awaitable<void> MapController::readMap(std::shared_ptr<Group> group)
+{
+    const int64_t epoch = group->epoch;
+    const size_t ranks = group->ranks.size();
+    expertmap::GroupMap map(static_cast<size_t>(group->layout.sets), std::vector<expertmap::RankExperts>(ranks));
+    bool complete = true;
+    for (size_t rank = 0; rank < ranks && complete && group->ranks.size() == ranks; ++rank) {
+        const transport::HttpReply reply = co_await callRank(group->ranks[rank], platform::mapListsCall(), REPORT_TIMEOUT);
+        const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
+            BOOST_LEAF_AUTO(lists, platform::decodeMapLists(reply.status, reply.body, group->layout.sets));
+            complete = lists.epoch == epoch && lists.version == group->mapVersion;
+            for (size_t set = 0; complete && set < map.size(); ++set) {
+                map[set][rank] = lists.experts[set];
+            }
+            return {};
+        });
+        complete = complete && read;
+    }
+    group->planning = false;
+    if (!complete || group->epoch != epoch) {
+        group->reportsStale = true;
+        co_return;
+    }
+    group->map = std::move(map);
+    group->mapUnknown = false;
+    context_.log.report({"maps", "map_read", ResultCode::Ok, "", {{"group", group->name}, {"version", std::to_string(group->mapVersion)}}});
+}
+
+asio::awaitable<void> MapController::plan(std::shared_ptr<Group> group)
+{
+    co_await searchAndBeginChange(group);
+    // Reset only now, because a search that starts during the preparation of a change would work on an outdated map.
+    group->planning = false;
+}
+
+asio::awaitable<void> MapController::searchAndBeginChange(std::shared_ptr<Group> group)
+{
+    const int64_t epoch = group->epoch;
+    const int64_t version = group->mapVersion;
+    // Work on copies, because the group may restart with other ranks during the search.
+    const fleet::ExpertLayout layout = group->layout;
+    const ChangeThresholds thresholds = thresholdsAt(group->passTime / maxPause(group->service));
+    expertmap::MapSearchOptions options;
+    options.experts = layout.experts;
+    options.maxExpertsPerRank = layout.placements;
+    options.maxAddedPerRankAndSet = layout.spares;
+    options.maxAddedPerRank = expertmap::copiesWithin(MAX_COPY_TIME, layout.copyTime);
+    options.copyCost = thresholds.costPerGigabyte * layout.megabytesPerExpert / MEGABYTES_PER_GIGABYTE;
+    expertmap::MapSearch search(options, group->map, samplesToPlanOn(*group), context_.random());
+    while (search.improve(PROPOSALS_PER_SLICE)) {
+        co_await transport::sleepFor(milliseconds{1});
+    }
+    const Instant now = framework::monotonicNow();
+    group->nextPlan = now + PLAN_INTERVAL;
+    group->plannedSkew = search.skew();
+    const bool stillValid = lease_.held() && group->epoch == epoch && group->mapVersion == version && !group->change && !group->reportsStale;
+    const bool worthIt = stillValid && search.initialSkew() - search.skew() >= thresholds.minGain;
+    context_.log.report({"maps",
+                         worthIt ? "change_begun" : "map_kept",
+                         ResultCode::Ok,
+                         "",
+                         {{"group", group->name},
+                          {"skew", std::to_string(search.initialSkew())},
+                          {"planned_skew", std::to_string(search.skew())},
+                          {"copies", std::to_string(search.copies())},
+                          {"copies_of_a_rank", std::to_string(search.maxCopiesOfARank())},
+                          {"samples", std::to_string(group->samples.samples().size())},
+                          {"pass_ms", std::to_string(toMilliseconds(group->passTime).count())},
+                          {"copy_cost", std::to_string(options.copyCost)}}});
+    if (!worthIt) {
+        co_return;
+    }
+    // Read the reports again, because orders need the current order sequences and passes.
+    do {
+        co_await refreshReports(group->service);
+    } while (group->reportsStale && group->epoch == epoch && lease_.held() && framework::monotonicNow() - now < MAX_SETTLE_WAIT);
+    if (!lease_.held() || context_.draining || group->reportsStale || group->leftoverHold || group->change || group->epoch != epoch
+        || group->mapVersion != version || group->ranks.empty()) {
+        co_return;
+    }
+    expertmap::MapChange change{epoch, termFencing_, group->highestVersion + 1, search.map()};
+    const Instant begin = framework::monotonicNow();
+    expertmap::SwitchOptions switchOptions;
+    if (agentsReachable(*group, begin)) {
+        switchOptions = begin >= lossTolerantUntil_ ? expertmap::SwitchOptions::lowLatency() : expertmap::SwitchOptions::lossTolerant();
+    }
+    group->changeMapText = platform::encodeMapText(change.map);
+    group->change = std::make_shared<expertmap::GroupSwitch>(switchOptions, std::move(change), group->reports, toMilliseconds(group->passTime), begin);
+}
+
+} // namespace daisymount::gateway
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -4,8 +4,8 @@
 
 #include "expertmap/groupswitch.h"
 #include "expertmap/loadsamples.h"
-#include "expertmap/passwatch.h"
 #include "expertmap/mapsearch.h"
+#include "expertmap/passwatch.h"
 #include "expertmap/sampledranks.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/maplease.h"
@@ -40,6 +40,8 @@
         int64_t epoch = 0;
         expertmap::LoadSamples samples{{}};
         expertmap::SampledRanks sampledRanks;
+        Instant lastSampleAt{0}; ///< Time of the last sample, or of the last time that the group had no requests.
+        bool sampleGapLogged = false; ///< That no samples come has been logged.
         expertmap::GroupMap map; ///< Current map.
         int64_t mapVersion = 0;
         bool mapUnknown = false; ///< The current map was set by an earlier controller and has to be read from the ranks.
@@ -76,6 +78,10 @@
     std::vector<expertmap::LoadSample> samplesToPlanOn(const Group &group) const;
     /// True if the skew of the newest samples is well above the planned one.
     bool demandShifted(const Group &group) const;
+    /// True if any gateway has requests in flight at the engines of the group's service.
+    bool hasRequests(const Group &group, Instant now) const;
+    /// Logs once that no sample comes from a group with requests, which therefore keeps its map.
+    void reportSampleGap(Group &group, Instant now);
     /// True if the group has pending requests but makes no passes.
     bool passesStalled(Group &group, Instant now) const;
     /// Starts to remove the holds and arms that an earlier change has left.
