--- a/src/expertmap/tests/mapsearch_tests.cpp
+++ b/src/expertmap/tests/mapsearch_tests.cpp
@@ -54,8 +54,7 @@
 {
     int copies = 0;
     for (size_t set = 0; set < map.size(); ++set) {
-        copies += static_cast<int>(
-            std::ranges::count_if(map[set][rank], [&](int expert) { return !std::ranges::binary_search(before[set][rank], expert); }));
+        copies += static_cast<int>(std::ranges::count_if(map[set][rank], [&](int expert) { return !std::ranges::binary_search(before[set][rank], expert); }));
     }
     return copies;
 }
