Attempt lines say what had come and how long it had been silent; stalled groups are logged

The logs could not tell a group that is noticed late from requests that wait unbegun, nor from callers whose departure is noticed late. Attempt lines get head_ms, events, upstream_silent_ms, service_silent_ms and caller_at_start; group_stalled and group_progressing are logged as the belief changes. No decision changed.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -103,6 +103,10 @@
     /// Must be called once for each onSent().
     void onFinished(std::string_view upstream, AttemptResult result, Duration firstAnswer, Instant now);
     void onLoad(std::string_view upstream, const UpstreamLoad &load, Instant now);
+    /// A response head or an event of a stream arrived from @p upstream.
+    void onProgress(std::string_view upstream, Instant now);
+    /// Time since the last response head or event from @p upstream; empty before the first one.
+    std::optional<Duration> silence(std::string_view upstream, Instant now) const;
     /// Another upstream reported a fault of the upstream at @p address.
     void onReportedFaulty(std::string_view address, Instant now);
     void onCold(std::string_view upstream, milliseconds remaining, Instant now);
@@ -144,6 +148,7 @@
         int othersAtReport = 0; ///< Requests from other entries according to the last report.
         int inFlightAtReport = 0;
         Instant reportedAt{0};
+        Instant lastProgressAt{0}; ///< When the last response head or event arrived.
         Instant avoidUntil{0};
         double failureRate = 0.0; ///< In [0, 1], exponentially weighted.
         Instant failureRateAt{0};
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -215,6 +215,22 @@
     state->reportedAt = now;
 }
 
+void Dispatcher::onProgress(std::string_view upstream, Instant now)
+{
+    if (State *state = find(upstream)) {
+        state->lastProgressAt = now;
+    }
+}
+
+std::optional<Duration> Dispatcher::silence(std::string_view upstream, Instant now) const
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end() || found->second.lastProgressAt == Instant{0}) {
+        return std::nullopt;
+    }
+    return now - found->second.lastProgressAt;
+}
+
 void Dispatcher::onReportedFaulty(std::string_view address, Instant now)
 {
     for (auto &[id, state] : states_) {
--- a/src/dispatch/internal/passpace.cpp
+++ b/src/dispatch/internal/passpace.cpp
@@ -27,7 +27,9 @@
 void PassTimeTracker::onEvents(std::string_view service, Duration gap, int events, framework::Instant now)
 {
     ServiceTiming &timing = timingOf(service);
+    const Duration silence = now - timing.lastEvent;
     timing.lastEvent = now;
+    reportStallChange(service, timing, silence, now);
     if (gap > MAX_PASS_TIME || events <= 0) {
         return;
     }
@@ -47,6 +49,28 @@
     if (inFlight < MIN_REQUESTS) {
         timing.tooFewUntil = now;
     }
+    reportStallChange(service, timing, now - timing.lastEvent, now);
+}
+
+void PassTimeTracker::reportStallChange(std::string_view service, ServiceTiming &timing, Duration silence, framework::Instant now)
+{
+    const bool isStalled = stalled(service, now);
+    if (isStalled == timing.stallReported) {
+        return;
+    }
+    timing.stallReported = isStalled;
+    if (onStallChanged) {
+        onStallChanged(service, isStalled, silence);
+    }
+}
+
+std::optional<Duration> PassTimeTracker::silence(std::string_view service, framework::Instant now) const
+{
+    const auto found = timings_.find(service);
+    if (found == timings_.end() || found->second.lastEvent == framework::Instant{0}) {
+        return std::nullopt;
+    }
+    return now - found->second.lastEvent;
 }
 
 bool PassTimeTracker::stalled(std::string_view service, framework::Instant now) const
--- a/src/dispatch/passpace.h
+++ b/src/dispatch/passpace.h
@@ -6,6 +6,7 @@
 
 #include "framework/clock.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,9 +24,14 @@
     void onRequests(std::string_view service, int inFlight, framework::Instant now);
     /// True if several requests are in flight and none has received an event for longer than the longest pass.
     bool stalled(std::string_view service, framework::Instant now) const;
+    /// Time since the last event of any stream of the service; empty before the first one.
+    std::optional<framework::Duration> silence(std::string_view service, framework::Instant now) const;
     /// Mean time of the most recent passes; empty if there were too few recent events.
     std::optional<framework::Duration> passTime(std::string_view service, framework::Instant now) const;
 
+    /// Called when the group of a service is found stalled or executes passes again, with the time for which it was silent.
+    std::function<void(std::string_view service, bool stalled, framework::Duration silence)> onStallChanged;
+
 private:
     struct Window
     {
@@ -41,8 +47,10 @@
         framework::Instant lastEvent{0};
         framework::Instant tooFewUntil{0}; ///< Last time with too few requests in flight to detect a stall.
         int inFlight = 0;
+        bool stallReported = false; ///< Last state passed to onStallChanged.
     };
 
+    void reportStallChange(std::string_view service, ServiceTiming &timing, framework::Duration silence, framework::Instant now);
     ServiceTiming &timingOf(std::string_view service);
 
     std::map<std::string, ServiceTiming, std::less<>> timings_; ///< By service.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,6 +60,8 @@
         AttemptOutcome headOutcome = AttemptOutcome::MayHaveRun; ///< Outcome according to the response head, valid once the head has been received.
         size_t bytesSent = 0;
         std::shared_ptr<bool> requestWritten = nullptr; ///< True once the whole request has been written; null before writing starts.
+        bool callerOpenAtStart = true; ///< The caller's connection was open when the attempt started.
+        int64_t eventsAtStart = 0; ///< Events with data that earlier attempts had delivered.
         Instant startedAt{0};
         Instant failoverAt{0}; ///< If no response head has arrived by then, the request is sent to another upstream.
         Duration timeToHead{0};
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -50,6 +50,11 @@
     }
     return "unknown";
 }
+
+std::string millisecondsText(std::optional<Duration> duration)
+{
+    return duration ? std::to_string(toMilliseconds(*duration).count()) : std::string("never");
+}
 } // namespace
 
 void Exchange::recordUpstreamState(const Attempt &attempt, const platform::UpstreamHeaders &headers, Instant now)
@@ -144,6 +149,7 @@
 
 void Exchange::logAttempt(const Attempt &attempt, AttemptOutcome outcome)
 {
+    const Instant now = framework::monotonicNow();
     context_.log.report({"forwarding",
                          "attempt",
                          outcome == AttemptOutcome::Answered ? ResultCode::Ok : ResultCode::UpstreamFailed,
@@ -158,7 +164,12 @@
                           {"expected_load", std::to_string(attempt.placement.expectedLoad)},
                           {"load_age_ms", std::to_string(toMilliseconds(attempt.placement.loadAge).count())},
                           {"reused", attempt.pooled.reused ? "yes" : "no"},
-                          {"ms", std::to_string(toMilliseconds(framework::monotonicNow() - attempt.startedAt).count())}}});
+                          {"caller_at_start", attempt.callerOpenAtStart ? "open" : "closed"},
+                          {"head_ms", std::to_string(toMilliseconds(attempt.timeToHead).count())},
+                          {"events", std::to_string(events_.eventsWithData() - attempt.eventsAtStart)},
+                          {"upstream_silent_ms", millisecondsText(context_.dispatcher.silence(attempt.placement.upstream, now))},
+                          {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(service_, now))},
+                          {"ms", std::to_string(toMilliseconds(now - attempt.startedAt).count())}}});
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -80,6 +80,8 @@
     const bool nonIdempotent = !match_.route->idempotent();
     Attempt attempt{placement, {}, transport::HttpReader(transport::HttpReader::MessageType::Response, RESPONSE_HEAD_LIMIT, RESPONSE_BODY_LIMIT)};
     attempt.startedAt = framework::monotonicNow();
+    attempt.callerOpenAtStart = caller_->open();
+    attempt.eventsAtStart = events_.eventsWithData();
     attempt.failoverAt = deadline_;
     if (match_.route->kind == fleet::RequestKind::Safe && static_cast<int>(triedUpstreams_.size()) < match_.route->maxAttempts) {
         attempt.failoverAt = attempt.startedAt + std::max(MIN_HEAD_TIMEOUT, HEAD_TIMEOUT_OBJECTIVES * match_.route->latencyObjective);
@@ -264,6 +266,7 @@
     if (status != MISDIRECTED_REQUEST) {
         context_.crashDetector.onUpstreamAnswered(attempt.placement, attempt.startedAt);
     }
+    context_.dispatcher.onProgress(upstream, now);
     attempt.timeToHead = now - attempt.startedAt;
     attempt.lastProgressAt = now;
     if (headers.load) {
@@ -297,6 +300,7 @@
     const Instant now = framework::monotonicNow();
     if (events_.eventsWithData() > known) {
         attempt.lastProgressAt = now;
+        context_.dispatcher.onProgress(attempt.placement.upstream, now);
         attempt.firstEventAt = attempt.firstEventAt == Instant{0} ? now : attempt.firstEventAt;
     }
     if (ready.empty()) {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -78,7 +78,17 @@
     , crashDetector(*this)
     , log({settings.name, settings.zone})
     , random(static_cast<unsigned>(seed))
-{ }
+{
+    passTimeTracker.onStallChanged = [this](std::string_view service, bool stalled, framework::Duration silence) {
+        log.report({"upstreams",
+                    stalled ? "group_stalled" : "group_progressing",
+                    stalled ? ResultCode::UpstreamUnreachable : ResultCode::Ok,
+                    "",
+                    {{"service", std::string(service)},
+                     {"silent_ms", std::to_string(std::chrono::duration_cast<milliseconds>(silence).count())},
+                     {"in_flight", std::to_string(dispatcher.engineLoad(service, framework::monotonicNow()).inFlight)}}});
+    };
+}
 
 bool GatewayContext::nothingPending(Instant now) const
 {
