--- a/src/gateway/tests/frozenupstream_tests.cpp
+++ b/src/gateway/tests/frozenupstream_tests.cpp
@@ -1,4 +1,5 @@
-// Tests of gateways before a lock-step group of engines of which some freeze: no engine executes passes until they resume.
+// Tests of gateways before a lock-step group of engines of which some freeze: either the group stands until they resume, or it goes on and
+// only the streams of the frozen engines are silent.
 
 #include "fleetfixture.h"
 
@@ -34,6 +35,7 @@
 /// Silence after which gateways must not send to the group, or the duration of a few passes if these are longer.
 constexpr milliseconds MAX_UNNOTICED_SILENCE{300};
 constexpr int MAX_UNNOTICED_PASSES = 3;
+const std::set<size_t> FROZEN = {1, 4}; ///< Indexes of the engines that freeze.
 
 std::string chunked(const std::string &bytes)
 {
@@ -42,6 +44,20 @@
     return std::string(size.data(), static_cast<size_t>(length)) + "\r\n" + bytes + "\r\n";
 }
 
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+/// Body of a complete response.
+const std::string ALL_EVENTS = [] {
+    std::string events;
+    for (int id = 1; id <= EVENTS_PER_STREAM; ++id) {
+        events += event(id);
+    }
+    return events;
+}();
+
 struct Run
 {
     transport::ConnectionPtr connection;
@@ -49,7 +65,7 @@
     int events = 0;
 };
 
-/// Engines that execute all passes together. A frozen one neither begins requests nor notices closed connections, and stops the others.
+/// Engines that execute all passes together. A frozen one neither begins requests, sends events nor notices closed connections.
 class LockStepEngines
 {
 public:
@@ -67,15 +83,19 @@
 
     std::vector<std::unique_ptr<ScriptedUpstream>> servers;
     std::set<size_t> frozen; ///< Indexes of the frozen engines.
+    bool stopsTogether = true; ///< No engine executes passes while one is frozen.
     std::map<std::string, Instant> receivedAt; ///< By request id.
-    std::map<std::string, Instant> begunAt; ///< By request id.
+    std::vector<std::pair<size_t, Instant>> receivedBy; ///< Engine and time of each received request.
+    std::map<std::string, Instant> begunAt; ///< By request id: when it first began.
     framework::Duration longestPass{0};
 
 private:
     asio::awaitable<void> enqueue(size_t engine, transport::ConnectionPtr connection, ReceivedRequest request)
     {
         receivedAt.emplace(request.field("X-Request-Id"), framework::monotonicNow());
-        waiting_[engine].push_back({std::move(connection), request.field("X-Request-Id"), 0});
+        receivedBy.emplace_back(engine, framework::monotonicNow());
+        const std::string lastEvent = request.field("Last-Event-Id");
+        waiting_[engine].push_back({std::move(connection), request.field("X-Request-Id"), lastEvent.empty() ? 0 : std::stoi(lastEvent)});
         co_return;
     }
 
@@ -91,7 +111,7 @@
                     std::erase_if(running_[i], [](const Run &run) { return !run.connection->open(); });
                 }
             }
-            if (!frozen.empty()) {
+            if (stopsTogether && !frozen.empty()) {
                 // Engines that still run drop waiting requests whose connection was closed.
                 for (size_t i = 0; i < ENGINES; ++i) {
                     if (!frozen.contains(i)) {
@@ -105,7 +125,9 @@
             lastPassAt = now;
             stood = false;
             for (size_t i = 0; i < ENGINES; ++i) {
-                co_await executePass(i);
+                if (!frozen.contains(i)) {
+                    co_await executePass(i);
+                }
             }
         }
     }
@@ -123,7 +145,7 @@
         for (Run &run : running_[engine]) {
             ++run.events;
             const std::string last = run.events == EVENTS_PER_STREAM ? "0\r\n\r\n" : "";
-            co_await send(run.connection, chunked("id: " + std::to_string(run.events) + "\ndata: x\n\n") + last);
+            co_await send(run.connection, chunked(event(run.events)) + last);
         }
         std::erase_if(running_[engine], [](const Run &run) { return run.events == EVENTS_PER_STREAM; });
     }
@@ -139,6 +161,7 @@
     Instant sentAt{0};
     int status = 0;
     bool complete = false;
+    bool eventsInOrder = false; ///< The response consists of all events, each once.
     std::optional<Instant> leftAt; ///< When the caller gave up waiting.
 };
 
@@ -167,6 +190,7 @@
     }
     caller->status = reader.headDone() ? reader.status() : 0;
     caller->complete = reader.done();
+    caller->eventsInOrder = reader.body() == ALL_EVENTS;
     connection->close();
 }
 
@@ -254,7 +278,7 @@
     {
         fixture->runUnderLoad(milliseconds{1'500});
         frozenAt = framework::monotonicNow();
-        fixture->engines.frozen = {1, 4};
+        fixture->engines.frozen = FROZEN;
         fixture->runUnderLoad(FREEZE_TIME);
         fixture->engines.frozen.clear();
         resumedAt = framework::monotonicNow();
@@ -287,6 +311,34 @@
     CHECK(static_cast<size_t>(sent) <= GATEWAYS);
 }
 
+TEST(FrozenUpstream, streamsOfAFrozenEngineContinueAtAnotherOneWhileTheGroupGoesOn)
+{
+    fixture->engines.stopsTogether = false;
+    playFreeze();
+    size_t runsAfterLeaving = 0;
+    size_t served = 0;
+    for (const auto &caller : fixture->callers) {
+        const auto begun = fixture->engines.begunAt.find(caller->requestId);
+        runsAfterLeaving += caller->leftAt && begun != fixture->engines.begunAt.end() && begun->second > *caller->leftAt ? 1 : 0;
+        served += caller->status == 200 && caller->complete && caller->eventsInOrder ? 1 : 0;
+    }
+    LONGS_EQUAL(0, runsAfterLeaving);
+    CHECK(served * 100 >= fixture->callers.size() * 95);
+}
+
+TEST(FrozenUpstream, frozenEngineIsOnlyTestedWhileTheGroupGoesOn)
+{
+    fixture->engines.stopsTogether = false;
+    playFreeze();
+    const Instant noticedBy = frozenAt + std::max<framework::Duration>(MAX_UNNOTICED_SILENCE, MAX_UNNOTICED_PASSES * fixture->engines.longestPass);
+    size_t sent = 0;
+    for (const auto &[engine, receivedAt] : fixture->engines.receivedBy) {
+        sent += FROZEN.contains(engine) && receivedAt > noticedBy && receivedAt < resumedAt ? 1 : 0;
+    }
+    // Each gateway tests a frozen engine at most once a second.
+    CHECK(sent <= GATEWAYS * FROZEN.size() * (FREEZE_TIME / seconds{1}));
+}
+
 TEST(FrozenUpstream, callersAreServedAgainAfterTheFreeze)
 {
     playFreeze();
