GONE: a stream whose upstream falls silent while others go on is continued at another one

Cause: belief in an upstream rested on a connection that is accepted and a registration that is ready, never on progress. Requests were sent to an engine from which nothing had come for a second and more, and what waited there, or had begun, stayed until its caller left: streams of engines were not continued elsewhere, on the assumption that the engines of a group stall together. Ruled out: attempts begun after the caller had left (0), a stalled group (0 lines). Why it works: SilenceDetector compares each upstream's silence with the progress of its service. What has not begun and cannot be moved is answered with 504 at three quarters of the caller's patience, so that nobody leaves a request behind that runs later.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -32,7 +32,8 @@
 {
     std::string_view service;
     std::span<const std::string> tried; ///< Upstreams already attempted for this request.
-    bool allowAvoided = false; ///< Use a temporarily avoided upstream if no other is available.
+    bool allowAvoided = false; ///< Use a temporarily avoided or silent upstream if no other is available.
+    std::span<const std::string> silent = {}; ///< Upstreams that do not respond at present.
 };
 
 struct Placement
@@ -169,6 +170,8 @@
     void allocateEngineSlots();
     /// Reserves the slots of the engines of one zone for the entries of that zone.
     void allocateZoneSlots(std::string_view service, std::span<const ServingEntry> entries, std::span<State *const> engines);
+    /// True if @p state should get requests only if no other upstream is available.
+    static bool isAvoided(const State &state, const PlacementRequest &request, Instant now);
     bool isEligible(State &state, const PlacementRequest &request, Instant now);
     /// Returns an engine with a free reserved slot, else the least loaded of a random sample; null if no engine is eligible.
     State *chooseEngine(const PlacementRequest &request, Instant now);
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -123,7 +123,7 @@
             paused = true;
             continue;
         }
-        const bool avoided = now < state.avoidUntil;
+        const bool avoided = isAvoided(state, request, now);
         if (avoided && !request.allowAvoided) {
             continue;
         }
@@ -147,6 +147,11 @@
     return makePlacement(*best, now);
 }
 
+bool Dispatcher::isAvoided(const State &state, const PlacementRequest &request, Instant now)
+{
+    return now < state.avoidUntil || std::ranges::find(request.silent, state.upstream.id) != request.silent.end();
+}
+
 Placement Dispatcher::makePlacement(State &state, Instant now)
 {
     consumeColdToken(state, now);
--- a/src/dispatch/internal/enginechoice.cpp
+++ b/src/dispatch/internal/enginechoice.cpp
@@ -67,7 +67,7 @@
 
 bool Dispatcher::isEligible(State &state, const PlacementRequest &request, Instant now)
 {
-    const bool avoided = now < state.avoidUntil && !request.allowAvoided;
+    const bool avoided = isAvoided(state, request, now) && !request.allowAvoided;
     return state.usable && state.upstream.service == request.service && std::ranges::find(request.tried, state.upstream.id) == request.tried.end()
         && now >= state.pausedUntil && !avoided && hasColdToken(state, now);
 }
@@ -81,7 +81,7 @@
             continue;
         }
         others.push_back(&state);
-        const bool free = state.reservedSlots > 0.0 && state.inFlight + 1 <= state.reservedSlots + ROUNDING_TOLERANCE && now >= state.avoidUntil;
+        const bool free = state.reservedSlots > 0.0 && state.inFlight + 1 <= state.reservedSlots + ROUNDING_TOLERANCE && !isAvoided(state, request, now);
         if (free && (home == nullptr || state.inFlight * home->reservedSlots < home->inFlight * state.reservedSlots)) {
             home = &state;
         }
@@ -94,7 +94,7 @@
     for (int i = 0; i < SAMPLED_ENGINES; ++i) {
         State *candidate = others[random_() % others.size()];
         const double load = (candidate->inFlight + candidate->expectedOthersInFlight + 1.0) / candidate->upstream.slots
-            + FAILURE_COST * failureRate(*candidate, now) + (now < candidate->avoidUntil ? FAILURE_COST : 0.0)
+            + FAILURE_COST * failureRate(*candidate, now) + (isAvoided(*candidate, request, now) ? FAILURE_COST : 0.0)
             + (candidate->upstream.zone != options_.zone ? OTHER_ZONE_COST : 0.0);
         if (load < least) {
             least = load;
--- a/src/dispatch/internal/retryshare.cpp
+++ b/src/dispatch/internal/retryshare.cpp
@@ -43,16 +43,21 @@
     counts(service).requests.add(now);
 }
 
-bool RetryBudgetShare::tryAcquireRetry(std::string_view service, framework::Instant now)
+bool RetryBudgetShare::canRetry(std::string_view service, framework::Instant now)
 {
-    Counts &known = counts(service);
+    const Counts &known = counts(service);
     // A previous process of this entry may have used its share of the slack in the same window.
     const double slack = isStarting(now) ? 0.0 : options_.slack / entries();
     const double budget = options_.ratio * static_cast<double>(known.requests.total(now)) + slack;
-    if (static_cast<double>(known.retries.total(now) + 1) > USABLE_FRACTION * budget) {
+    return static_cast<double>(known.retries.total(now) + 1) <= USABLE_FRACTION * budget;
+}
+
+bool RetryBudgetShare::tryAcquireRetry(std::string_view service, framework::Instant now)
+{
+    if (!canRetry(service, now)) {
         return false;
     }
-    known.retries.add(now);
+    counts(service).retries.add(now);
     return true;
 }
 
--- a/src/dispatch/retryshare.h
+++ b/src/dispatch/retryshare.h
@@ -28,6 +28,8 @@
     /// Sets the number of possibly live entries including this one, at least 1. Must be called several times a second.
     void setEntries(int entries, framework::Instant now);
     void onRequest(std::string_view service, framework::Instant now);
+    /// True if tryAcquireRetry() would succeed.
+    bool canRetry(std::string_view service, framework::Instant now);
     /// Consumes one retry; returns false if the share of this entry is used up.
     bool tryAcquireRetry(std::string_view service, framework::Instant now);
     /// Number of entries by which the slack is divided.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,6 +24,7 @@
     FailureAnswer, ///< The upstream responded with an error, which is stored in case no retry succeeds.
     CallerGone,
     TimedOut,
+    Stalled, ///< Nothing has arrived and the caller's patience is nearly used up; the request may be executed later.
 };
 
 class Exchange
@@ -62,6 +63,7 @@
         std::shared_ptr<bool> requestWritten = nullptr; ///< True once the whole request has been written; null before writing starts.
         bool callerOpenAtStart = true; ///< The caller's connection was open when the attempt started.
         int64_t eventsAtStart = 0; ///< Events with data that earlier attempts had delivered.
+        std::optional<dispatch::SilenceDetector::AttemptId> silenceId = std::nullopt; ///< Set for streams of engines.
         Instant startedAt{0};
         Instant failoverAt{0}; ///< If no response head has arrived by then, the request is sent to another upstream.
         Duration timeToHead{0};
@@ -85,6 +87,13 @@
     std::optional<AttemptOutcome> abandonUnrelayedBody(Attempt &attempt, Instant now);
     /// Returns true when the stream has made no progress for so long that the attempt has to be ended.
     bool isStreamStalled(const Attempt &attempt, Instant now) const;
+    /// Time without an event after which callers abandon a stream of the route.
+    Duration streamPatience() const;
+    /// Returns true when the upstream does not respond while others do, and the stream can be continued at one of these.
+    bool shouldFailOver(const Attempt &attempt, Instant now) const;
+    /// Returns true when a stream has not begun, is not about to, and its caller is about to leave.
+    bool isWaitingInVain(const Attempt &attempt, Instant now) const;
+    void recordProgress(const Attempt &attempt, Instant now);
     transport::asio::awaitable<bool> relayAvailable(Attempt &attempt);
     /// Reports the time between events, from which the duration of an engine's forward pass is estimated.
     void recordEventTimes(Instant now);
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #include "dispatch/passpace.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/retryshare.h"
+#include "dispatch/silencedetector.h"
 #include "fleet/fleetview.h"
 #include "fleet/nodesettings.h"
 #include "gateway/crashwatch.h"
@@ -33,6 +34,7 @@
     dispatch::RetryDetector retryDetector;
     dispatch::RetryDelay retryDelay;
     dispatch::PassTimeTracker passTimeTracker;
+    dispatch::SilenceDetector silenceDetector;
     dispatch::RetryBudgetShare retryBudget;
     UpstreamPool pool;
     transport::HttpCaller httpClient;
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -30,6 +30,8 @@
         return "caller_gone";
     case AttemptOutcome::TimedOut:
         return "timed_out";
+    case AttemptOutcome::Stalled:
+        return "stalled";
     }
     return "unknown";
 }
@@ -93,7 +95,7 @@
     dispatch::AttemptResult result = dispatch::AttemptResult::Failed;
     if (outcome == AttemptOutcome::Answered) {
         result = dispatch::AttemptResult::Served;
-    } else if (outcome == AttemptOutcome::CallerGone || outcome == AttemptOutcome::TimedOut) {
+    } else if (outcome == AttemptOutcome::CallerGone || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled) {
         result = dispatch::AttemptResult::Abandoned;
     } else if (outcome == AttemptOutcome::NotRun) {
         const bool replaced = attempt.headReceived && attempt.reader.status() == MISDIRECTED_REQUEST;
@@ -101,11 +103,14 @@
     }
     context_.dispatcher.onFinished(attempt.placement.upstream, result, attempt.timeToHead, now);
     context_.metrics.onAttempt(service_, toString(outcome));
+    if (attempt.silenceId) {
+        context_.silenceDetector.onEnded(*attempt.silenceId, now);
+    }
     if (outcome == AttemptOutcome::MayHaveRun) {
         mayHaveRun_ = true;
         events_.discardPartial();
     }
-    if (outcome == AttemptOutcome::TimedOut && attempt.pooled.connection) {
+    if ((outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled) && attempt.pooled.connection) {
         mayHaveRun_ = true;
     }
     recordCrashEvidence(attempt, outcome, now);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -187,7 +187,8 @@
             minRetryAfter = *timeLeft;
             break;
         }
-        auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0}, now);
+        const std::vector<std::string> silent = context_.silenceDetector.silentUpstreams(service_, now);
+        auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0, silent}, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sendCount == 0 ? refusal->code : ResultCode::UpstreamFull;
             minRetryAfter = refusal->retryAfter;
@@ -270,6 +271,7 @@
     case AttemptOutcome::Answered:
     case AttemptOutcome::CallerGone:
     case AttemptOutcome::TimedOut:
+    case AttemptOutcome::Stalled:
         return false;
     }
     return false;
@@ -307,7 +309,7 @@
         }
         co_return co_await sendRefusal(ResultCode::DeadlinePassed, LATE_RETRY_AFTER);
     }
-    co_return co_await sendFailure(ResultCode::OutcomeUnknown, BAD_GATEWAY);
+    co_return co_await sendFailure(ResultCode::OutcomeUnknown, outcome == AttemptOutcome::Stalled ? GATEWAY_TIMEOUT : BAD_GATEWAY);
 }
 
 asio::awaitable<bool> Exchange::sendGatewayResponse(int status, ResultCode code, std::optional<milliseconds> retryAfter)
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -32,6 +32,8 @@
 /// Fraction of that time after which a stalled stream is resumed at another upstream, so that its next event arrives before the caller leaves.
 constexpr int FAILOVER_NUMERATOR = 3;
 constexpr int FAILOVER_DENOMINATOR = 4;
+/// Interval at which the silence of a stream's upstream is evaluated.
+constexpr milliseconds SILENCE_CHECK_INTERVAL{50};
 /// Maximum size of an error response's body that is passed on to the caller.
 constexpr size_t FAILURE_BODY_LIMIT = 256 * 1024;
 /// An incomplete event larger than this is treated as endless and ends the attempt.
@@ -95,6 +97,9 @@
     const bool mayStillSend = context_.dispatcher.acceptsRequests(placement.upstream, framework::monotonicNow());
     if (attempt.pooled.connection && !callerDisconnected_ && mayStillSend) {
         upstreamConnection_ = attempt.pooled.connection;
+        if (match_.route->kind == fleet::RequestKind::Stream && context_.dispatcher.hasEngines(service_)) {
+            attempt.silenceId = context_.silenceDetector.onSent(service_, placement.upstream, framework::monotonicNow());
+        }
         outcome = co_await sendAndRelay(attempt);
     } else {
         outcome = callerDisconnected_ ? AttemptOutcome::CallerGone : AttemptOutcome::NotRun;
@@ -202,9 +207,12 @@
         if (const std::optional<AttemptOutcome> outcome = abandonUnrelayedBody(attempt, now)) {
             co_return *outcome;
         }
-        if (attempt.streaming && isStreamStalled(attempt, now)) {
+        if ((attempt.streaming && isStreamStalled(attempt, now)) || shouldFailOver(attempt, now)) {
             co_return AttemptOutcome::MayHaveRun;
         }
+        if (isWaitingInVain(attempt, now)) {
+            co_return AttemptOutcome::Stalled;
+        }
         Instant waitUntil = attempt.headReceived ? deadline_ : std::min(deadline_, attempt.failoverAt);
         if (now >= waitUntil) {
             co_return AttemptOutcome::MayHaveRun;
@@ -212,6 +220,9 @@
         if (attempt.headReceived && (attempt.streaming || attempt.headOutcome != AttemptOutcome::Answered)) {
             waitUntil = std::min<Instant>(waitUntil, now + UNRELAYED_BODY_TIMEOUT);
         }
+        if (attempt.silenceId) {
+            waitUntil = std::min<Instant>(waitUntil, now + SILENCE_CHECK_INTERVAL);
+        }
         co_await upstream.waitForBytes(upstream.receiveBuffer().size(), waitUntil);
     }
 }
@@ -236,20 +247,46 @@
     return AttemptOutcome::FailureAnswer;
 }
 
+Duration Exchange::streamPatience() const
+{
+    const fleet::Route &route = *match_.route;
+    return std::max<Duration>(MIN_STREAM_PATIENCE,
+                              std::max<Duration>(STREAM_PATIENCE_OBJECTIVES * route.latencyObjective, STREAM_PATIENCE_PAUSES * route.pauseObjective));
+}
+
 bool Exchange::isStreamStalled(const Attempt &attempt, Instant now) const
 {
     const fleet::Route &route = *match_.route;
     const Duration silent = now - attempt.lastProgressAt;
-    const Duration patience = std::max<Duration>(
-        MIN_STREAM_PATIENCE, std::max<Duration>(STREAM_PATIENCE_OBJECTIVES * route.latencyObjective, STREAM_PATIENCE_PAUSES * route.pauseObjective));
+    const Duration patience = streamPatience();
     if (silent > std::max<Duration>(context_.streamStallTimeout, patience)) {
         return true;
     }
-    // The engines of a group stall together, so that another one could not continue the stream either.
+    // Streams of engines are continued elsewhere by shouldFailOver(), since the engines of a group may all be waiting for one of them.
     const bool canFailOver = route.idempotent() && !context_.dispatcher.hasEngines(service_) && static_cast<int>(triedUpstreams_.size()) < route.maxAttempts;
     return canFailOver && silent > patience * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR;
 }
 
+bool Exchange::shouldFailOver(const Attempt &attempt, Instant now) const
+{
+    return attempt.silenceId && static_cast<int>(triedUpstreams_.size()) < match_.route->maxAttempts && canRetry(AttemptOutcome::MayHaveRun)
+        && context_.silenceDetector.shouldFailOver(*attempt.silenceId, now) && context_.retryBudget.canRetry(service_, now);
+}
+
+bool Exchange::isWaitingInVain(const Attempt &attempt, Instant now) const
+{
+    return attempt.silenceId && !relay_.started() && now - request_.receivedAt > streamPatience() * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR
+        && context_.silenceDetector.isWaitingInVain(*attempt.silenceId, now);
+}
+
+void Exchange::recordProgress(const Attempt &attempt, Instant now)
+{
+    context_.dispatcher.onProgress(attempt.placement.upstream, now);
+    if (attempt.silenceId) {
+        context_.silenceDetector.onProgress(*attempt.silenceId, now);
+    }
+}
+
 bool Exchange::processHead(Attempt &attempt)
 {
     const Instant now = framework::monotonicNow();
@@ -266,7 +303,7 @@
     if (status != MISDIRECTED_REQUEST) {
         context_.crashDetector.onUpstreamAnswered(attempt.placement, attempt.startedAt);
     }
-    context_.dispatcher.onProgress(upstream, now);
+    recordProgress(attempt, now);
     attempt.timeToHead = now - attempt.startedAt;
     attempt.lastProgressAt = now;
     if (headers.load) {
@@ -300,7 +337,7 @@
     const Instant now = framework::monotonicNow();
     if (events_.eventsWithData() > known) {
         attempt.lastProgressAt = now;
-        context_.dispatcher.onProgress(attempt.placement.upstream, now);
+        recordProgress(attempt, now);
         attempt.firstEventAt = attempt.firstEventAt == Instant{0} ? now : attempt.firstEventAt;
     }
     if (ready.empty()) {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -79,6 +79,16 @@
     , log({settings.name, settings.zone})
     , random(static_cast<unsigned>(seed))
 {
+    silenceDetector.onSilenceChanged = [this](std::string_view upstream, bool silent, framework::Duration silence) {
+        metrics.onSilenceChange(silent);
+        log.report({"upstreams",
+                    silent ? "silent" : "responding",
+                    silent ? ResultCode::UpstreamUnreachable : ResultCode::Ok,
+                    "",
+                    {{"upstream", std::string(upstream)},
+                     {"silent_ms", std::to_string(std::chrono::duration_cast<milliseconds>(silence).count())},
+                     {"in_flight", std::to_string(dispatcher.inFlight(upstream))}}});
+    };
     passTimeTracker.onStallChanged = [this](std::string_view service, bool stalled, framework::Duration silence) {
         log.report({"upstreams",
                     stalled ? "group_stalled" : "group_progressing",
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -37,6 +37,10 @@
         = prometheus::BuildCounter().Name("daisymount_store_calls_total").Help("Calls to the platform's store by call and result.").Register(registry);
     prometheus::Family<prometheus::Counter> &crashes
         = prometheus::BuildCounter().Name("daisymount_crash_events_total").Help("Crashed upstreams and the requests under way there.").Register(registry);
+    prometheus::Family<prometheus::Counter> &silences = prometheus::BuildCounter()
+                                                            .Name("daisymount_upstream_silences_total")
+                                                            .Help("Upstreams that were found silent or respond again, by event.")
+                                                            .Register(registry);
     prometheus::Family<prometheus::Counter> &orders
         = prometheus::BuildCounter().Name("daisymount_rank_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("daisymount_state").Help("State by name.").Register(registry);
@@ -89,6 +93,11 @@
     families_->crashes.Add({{"event", std::string(event)}}).Increment();
 }
 
+void GatewayMetrics::onSilenceChange(bool silent)
+{
+    families_->silences.Add({{"event", silent ? "silent" : "responding"}}).Increment();
+}
+
 void GatewayMetrics::onOrder(std::string_view order, std::string_view outcome)
 {
     families_->orders.Add({{"order", std::string(order)}, {"outcome", std::string(outcome)}}).Increment();
