Callers are not refused for a missing report while the streams of the group go on

Cause: the map controller takes a rank whose report is missing for a group that executes no passes, and gateways believed it against what their own streams showed. Fix: a group whose streams had an event within 300 ms is not refused for; when a rank really is gone all streams stop and the report counts. Test red before (503): FrozenUpstream.callersAreNotRefusedForAMissingReportWhileTheGroupGoesOn.

--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -21,7 +21,8 @@
 
 AdmissionDecision EngineAdmission::decide(const AdmissionView &view)
 {
-    if (view.groupDown) {
+    // A rank that is only unreachable for the controller does not stop the others.
+    if (view.groupDown && !view.groupProgressing) {
         // Callers retry once: the first attempt is rejected, the retry waits as long as it can still be served in time.
         if (view.isRetry && view.left > options_.typicalServiceTime && view.waited < options_.maxRetryWait) {
             return {Admission::Wait, milliseconds{0}};
--- a/src/dispatch/internal/passpace.cpp
+++ b/src/dispatch/internal/passpace.cpp
@@ -18,6 +18,8 @@
 constexpr Duration MAX_PASS_TIME = milliseconds{400};
 /// Time without an event after which the group is stalled; prompt processing and a pass take a fraction of it.
 constexpr Duration STALLED_AFTER = milliseconds{700};
+/// Time without an event up to which the group certainly executes passes; a few passes.
+constexpr Duration PROGRESSING_WITHIN = milliseconds{300};
 /// With fewer requests in flight, all of them may be waiting for their first event.
 constexpr int MIN_REQUESTS = 4;
 /// With fewer passes the mean is not reliable.
@@ -64,6 +66,12 @@
     }
 }
 
+bool PassTimeTracker::progressing(std::string_view service, framework::Instant now) const
+{
+    const std::optional<Duration> silent = silence(service, now);
+    return silent && *silent <= PROGRESSING_WITHIN;
+}
+
 std::optional<Duration> PassTimeTracker::silence(std::string_view service, framework::Instant now) const
 {
     const auto found = timings_.find(service);
--- a/src/dispatch/passpace.h
+++ b/src/dispatch/passpace.h
@@ -24,6 +24,8 @@
     void onRequests(std::string_view service, int inFlight, framework::Instant now);
     /// True if several requests are in flight and none has received an event for longer than the longest pass.
     bool stalled(std::string_view service, framework::Instant now) const;
+    /// True if a stream of the service got an event within the last passes.
+    bool progressing(std::string_view service, framework::Instant now) const;
     /// Time since the last event of any stream of the service; empty before the first one.
     std::optional<framework::Duration> silence(std::string_view service, framework::Instant now) const;
     /// Mean time of the most recent passes; empty if there were too few recent events.
--- a/src/dispatch/tests/engineadmission_tests.cpp
+++ b/src/dispatch/tests/engineadmission_tests.cpp
@@ -53,6 +53,14 @@
     CHECK(admission.decide(view).admission == Admission::Admit);
 }
 
+TEST(EngineAdmission, admitsWhileStreamsProgressThoughARankIsReportedMissing)
+{
+    view.groupDown = true;
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+    view.groupProgressing = true;
+    CHECK(admission.decide(view).admission == Admission::Admit);
+}
+
 TEST(EngineAdmission, engineSlotsLimitRequestsInFlight)
 {
     view.engines = 63;
@@ -197,6 +205,14 @@
     CHECK(pace.stalled("s", START + milliseconds{1'700}));
 }
 
+TEST(PassTimeTracker, groupIsProgressingForAFewPassesAfterAnEvent)
+{
+    CHECK_FALSE(pace.progressing("s", START));
+    pass(START, milliseconds{60}, 1);
+    CHECK(pace.progressing("s", START + milliseconds{250}));
+    CHECK_FALSE(pace.progressing("s", START + milliseconds{350}));
+}
+
 TEST(PassTimeTracker, tooFewRequestsDoNotIndicateAStall)
 {
     pace.onRequests("s", 2, START);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -132,6 +132,7 @@
         view.passTimeKnown = passTime.has_value();
         context_.passTimeTracker.onRequests(service_, load.inFlight, now);
         view.groupDown = context_.peers.groupDown(service_, now) || context_.passTimeTracker.stalled(service_, now);
+        view.groupProgressing = context_.passTimeTracker.progressing(service_, now);
         view.isRetry = isRetry;
         view.waited = now - begin;
         view.left = deadline_ - now;
--- a/src/gateway/tests/frozenupstream_tests.cpp
+++ b/src/gateway/tests/frozenupstream_tests.cpp
@@ -339,6 +339,21 @@
     CHECK(sent <= GATEWAYS * FROZEN.size() * (FREEZE_TIME / seconds{1}));
 }
 
+TEST(FrozenUpstream, callersAreNotRefusedForAMissingReportWhileTheGroupGoesOn)
+{
+    fixture->engines.stopsTogether = false;
+    fixture->runUnderLoad(milliseconds{1'000});
+    for (const auto &gateway : fixture->gateways) {
+        gateway->context.peers.self().groupsDown = {"model"};
+        gateway->context.peers.self().controlsMaps = true;
+    }
+    fixture->runUnderLoad(milliseconds{1'000});
+    fixture->reactor.run_for(milliseconds{1'500});
+    for (const auto &caller : fixture->callers) {
+        LONGS_EQUAL(200, caller->status);
+    }
+}
+
 TEST(FrozenUpstream, callersAreServedAgainAfterTheFreeze)
 {
     playFreeze();
