A group whose streams all stop is noticed within a few passes, and tested by single requests

Cause: PassTimeTracker speaks after 0.7 s and forgets as soon as fewer than four requests are under way. Fix: SilenceDetector tells that the streams of a service have all stopped (250 ms or three pauses, two streams or more). First attempts wait for the usual 110 ms, so that a long pass refuses nobody, and are then told at once when to come back; later the group gets one request at a time until an event arrives. The old rule stays for requests that have not begun.

--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -40,6 +40,7 @@
     int slotsPerEngine = 0;
     bool passTimeKnown = false; ///< Recent events on streams of this entry gave a pass time.
     bool groupDown = false; ///< The group lacks a rank and executes no passes.
+    bool groupSilent = false; ///< All streams of this entry have stopped, possibly only for a long pass.
     bool groupProgressing = false; ///< Streams of this entry got events within the last passes, whatever is reported of the group.
     bool isRetry = false; ///< The caller was rejected before.
     Duration waited{0};
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -29,7 +29,10 @@
         }
         return {Admission::Refuse, retryDelay_.choose(RefusalCause::Outage, view.left)};
     }
-    if (view.inFlight < slotLimit(view) && isWithinEntryShare(view)) {
+    if (view.groupSilent && view.waited >= (view.isRetry ? options_.maxRetryWait : options_.maxWait)) {
+        return {Admission::Refuse, retryDelay_.choose(RefusalCause::Outage, view.left)};
+    }
+    if (!view.groupSilent && view.inFlight < slotLimit(view) && isWithinEntryShare(view)) {
         return {Admission::Admit, milliseconds{0}};
     }
     if (view.waited < (view.isRetry ? options_.maxRetryWait : options_.maxWait)) {
--- a/src/dispatch/internal/silencedetector.cpp
+++ b/src/dispatch/internal/silencedetector.cpp
@@ -25,6 +25,8 @@
 /// A longer time without an event of any stream interrupts the progress of a service: its upstreams stand together, or this process did.
 constexpr Duration MAX_GAP = milliseconds{200};
 constexpr int MAX_GAP_PAUSES = 2;
+/// One silent stream may have been preempted.
+constexpr int MIN_STREAMS = 2;
 /// Longer intervals are outages, not passes.
 constexpr Duration MAX_PAUSE = milliseconds{1'000};
 constexpr int PAUSE_WEIGHT_DIVISOR = 16; ///< Inverse weight of one interval in the mean.
@@ -44,7 +46,7 @@
     if (known == nullptr) {
         known = &upstreams_.emplace(std::string(upstream), Upstream{std::string(service)}).first->second;
     }
-    ++known->waiting;
+    changeCounts(*known, 0, 1, now);
     if (known->silent) {
         known->nextTestAt = now + std::min(MAX_TEST_INTERVAL, TEST_INTERVAL * (1 << std::min(known->tests, 2)));
         ++known->tests;
@@ -70,10 +72,10 @@
         progress.uninterruptedSince = now;
     }
     progress.lastAt = now;
+    progress.silent = false;
     if (!known.begun) {
         known.begun = true;
-        --upstream.waiting;
-        ++upstream.begun;
+        changeCounts(upstream, 1, -1, now);
     }
     known.lastAt = now;
     upstream.lastAt = now;
@@ -86,14 +88,26 @@
     }
 }
 
-void SilenceDetector::onEnded(AttemptId attempt, Instant /*now*/)
+void SilenceDetector::changeCounts(Upstream &upstream, int begun, int waiting, Instant now)
+{
+    upstream.begun += begun;
+    upstream.waiting += waiting;
+    ServiceProgress &progress = services_[upstream.service];
+    if (progress.begun < MIN_STREAMS) {
+        progress.fewStreamsUntil = now;
+    }
+    progress.begun += begun;
+    progress.waiting += waiting;
+}
+
+void SilenceDetector::onEnded(AttemptId attempt, Instant now)
 {
     const auto found = attempts_.find(attempt);
     if (found == attempts_.end()) {
         return;
     }
     const auto upstream = upstreams_.find(found->second.upstream);
-    --(found->second.begun ? upstream->second.begun : upstream->second.waiting);
+    changeCounts(upstream->second, found->second.begun ? -1 : 0, found->second.begun ? 0 : -1, now);
     if (upstream->second.begun + upstream->second.waiting == 0 && !upstream->second.silent) {
         upstreams_.erase(upstream);
     }
@@ -129,6 +143,20 @@
         && now - std::max(found->second.lastAt, progress.uninterruptedSince) > limit(progress, FAIL_OVER_AFTER, FAIL_OVER_PAUSES);
 }
 
+bool SilenceDetector::isServiceSilent(std::string_view service, Instant now)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return false;
+    }
+    ServiceProgress &progress = found->second;
+    const Instant since = std::max(progress.lastAt, progress.fewStreamsUntil);
+    if (progress.begun >= MIN_STREAMS && now - since > limit(progress, SILENT_AFTER, SILENT_PAUSES)) {
+        progress.silent = true;
+    }
+    return progress.silent && progress.begun + progress.waiting > 0;
+}
+
 bool SilenceDetector::isWaitingInVain(AttemptId attempt, Instant now)
 {
     const auto found = attempts_.find(attempt);
--- a/src/dispatch/silencedetector.h
+++ b/src/dispatch/silencedetector.h
@@ -34,6 +34,9 @@
     std::vector<std::string> silentUpstreams(std::string_view service, framework::Instant now);
     /// True if the upstream of the attempt is silent and the stream should be continued at another one.
     bool shouldFailOver(AttemptId attempt, framework::Instant now);
+    /// True if all streams of @p service have stopped, so that further requests could only wait. When none is under way any more, a single
+    /// request tests the service.
+    bool isServiceSilent(std::string_view service, framework::Instant now);
     /// True if nothing has arrived on the attempt and its upstream, or all streams of its service, are silent.
     bool isWaitingInVain(AttemptId attempt, framework::Instant now);
 
@@ -46,6 +49,10 @@
         framework::Instant lastAt{0};
         framework::Instant uninterruptedSince{0}; ///< Start of the period in which events arrived without a long gap.
         framework::Duration meanPause{0}; ///< Exponentially weighted time between two events of a stream, 0 before the first.
+        framework::Instant fewStreamsUntil{0}; ///< Last time with fewer than MIN_STREAMS begun streams under way.
+        int begun = 0; ///< Streams under way that have received something.
+        int waiting = 0; ///< Streams under way that have received nothing.
+        bool silent = false; ///< All streams have stopped.
     };
 
     struct Upstream
@@ -69,6 +76,7 @@
 
     framework::Duration limit(const ServiceProgress &progress, framework::Duration minimum, int pauses) const;
     bool isProgressing(const ServiceProgress &progress, framework::Instant now) const;
+    void changeCounts(Upstream &upstream, int begun, int waiting, framework::Instant now);
     /// Marks @p upstream as silent if it is.
     void update(std::string_view name, Upstream &upstream, framework::Instant now);
     framework::Instant oldestWaiting(std::string_view upstream, framework::Instant now) const;
--- a/src/dispatch/tests/engineadmission_tests.cpp
+++ b/src/dispatch/tests/engineadmission_tests.cpp
@@ -61,6 +61,18 @@
     CHECK(admission.decide(view).admission == Admission::Admit);
 }
 
+TEST(EngineAdmission, holdsFirstAttemptsShortlyWhileAllStreamsAreSilentThenRefuses)
+{
+    view.groupSilent = true;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.waited = std::chrono::milliseconds{120};
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+    view.isRetry = true;
+    CHECK(admission.decide(view).admission == Admission::Wait);
+    view.waited = std::chrono::milliseconds{1'400};
+    CHECK(admission.decide(view).admission == Admission::Refuse);
+}
+
 TEST(EngineAdmission, engineSlotsLimitRequestsInFlight)
 {
     view.engines = 63;
--- a/src/dispatch/tests/silencedetector_tests.cpp
+++ b/src/dispatch/tests/silencedetector_tests.cpp
@@ -131,6 +131,45 @@
     CHECK(tests <= 4);
 }
 
+TEST(SilenceDetector, serviceWhoseStreamsAllStopIsSilentWithin300MillisecondsUntilOneGoesOn)
+{
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+    passes(5);
+    now += milliseconds{200};
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+    now += milliseconds{100};
+    CHECK(detector.isServiceSilent("s", now));
+    CHECK_FALSE(detector.isServiceSilent("other", now));
+    detector.onProgress(others.front(), now);
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+}
+
+TEST(SilenceDetector, silentServiceWithoutStreamsIsTestedByOneRequest)
+{
+    passes(5);
+    now += milliseconds{300};
+    CHECK(detector.isServiceSilent("s", now));
+    for (const SilenceDetector::AttemptId attempt : others) {
+        detector.onEnded(attempt, now);
+    }
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+    const auto test = detector.onSent("s", "a", now);
+    CHECK(detector.isServiceSilent("s", now));
+    detector.onProgress(test, now);
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+}
+
+TEST(SilenceDetector, serviceWithLongPassesOrASingleStreamIsNotSilent)
+{
+    passes(40, {}, milliseconds{700});
+    now += milliseconds{800};
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+    detector.onProgress(others.front(), now);
+    detector.onEnded(others.back(), now);
+    now += milliseconds{5'000};
+    CHECK_FALSE(detector.isServiceSilent("s", now));
+}
+
 TEST(SilenceDetector, requestAtASilentGroupWaitsInVain)
 {
     passes(5);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -132,6 +132,7 @@
         view.passTimeKnown = passTime.has_value();
         context_.passTimeTracker.onRequests(service_, load.inFlight, now);
         view.groupDown = context_.peers.groupDown(service_, now) || context_.passTimeTracker.stalled(service_, now);
+        view.groupSilent = match_.route->kind == fleet::RequestKind::Stream && context_.silenceDetector.isServiceSilent(service_, now);
         view.groupProgressing = context_.passTimeTracker.progressing(service_, now);
         view.isRetry = isRetry;
         view.waited = now - begin;
@@ -148,7 +149,8 @@
                                  {{"in_flight", std::to_string(view.inFlight)},
                                   {"engines", std::to_string(view.engines)},
                                   {"pass_ms", std::to_string(passTime ? toMilliseconds(*passTime).count() : 0)},
-                                  {"group_down", view.groupDown ? "yes" : "no"},
+                                  {"group_down", view.groupDown && !view.groupProgressing ? "yes" : "no"},
+                                  {"group_silent", view.groupSilent ? "yes" : "no"},
                                   {"returning", isRetry ? "yes" : "no"},
                                   {"waited_ms", std::to_string(toMilliseconds(view.waited).count())},
                                   {"retry_after_ms", std::to_string(decision.retryAfter.count())}}});
