A request whose caller has left before it was read is not passed on

Callers saw: work for a request whose connection had already ended when the gateway took it up, for example because the gateway's VM had frozen and request and end were read together. Cause: Exchange set onReadEnd, which fires once, after the end had been read. Fix: the exchange looks at the state of the connection as it begins. Test red before: UpstreamTrouble.requestWhoseCallerHasLeftIsNotPassedOn (1 sent).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -129,7 +129,7 @@
     std::vector<std::string> triedUpstreams_;
     std::optional<FailureResponse> failureResponse_;
     bool mayHaveRun_ = false;
-    bool callerDisconnected_ = false;
+    bool callerDisconnected_ = false; ///< The caller's connection ended, possibly together with the request.
     transport::ConnectionPtr upstreamConnection_; ///< Connection of the current attempt, reset when the caller disconnects.
     Duration timeToFirstByte_{0};
     int eventsRecorded_ = 0; ///< Events of events_ that recordEventTimes() has already processed.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -46,6 +46,7 @@
     : context_(context), caller_(std::move(caller)), request_(std::move(request)), relay_(*caller_, !request_.keepAlive || context.draining)
 {
     ++context_.activeRequests;
+    callerDisconnected_ = caller_->readEnd() != transport::ReadEnd::Open;
     caller_->onReadEnd = [this] {
         callerDisconnected_ = true;
         if (upstreamConnection_) {
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -3,6 +3,8 @@
 
 #include "gatewayfixture.h"
 
+#include <boost/asio/write.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <fstream>
@@ -463,3 +465,17 @@
     CHECK(caller->receiveBuffer().find("done") != std::string_view::npos);
     CHECK(caller->receiveBuffer().find("Connection: close") != std::string_view::npos);
 }
+
+TEST(UpstreamTrouble, requestWhoseCallerHasLeftIsNotPassedOn)
+{
+    auto &upstream = fixture->addUpstream("u1", "plain", [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+        co_await send(connection, answer(received, "too late"));
+    });
+    // The request and the end of the connection are both in the gateway's receive queue before it reads, as after a freeze of the gateway.
+    asio::ip::tcp::socket caller(fixture->reactor);
+    caller.connect(fixture->endpoint());
+    asio::write(caller, asio::buffer(request("GET", "/safe/")));
+    caller.close();
+    fixture->reactor.run_for(milliseconds{300});
+    LONGS_EQUAL(0, upstream.received.size());
+}
