A broken stream is continued only by a stream of the same kind

From the operators' further reports: a stream broke off, the next upstream answered with an error, callers found its text in their stream or the stream ended as if complete. Shown here for an error page sent as 200: its body became the end of a stream that looked complete. Cause: a continuation was judged by its status and signature alone. Fix: once part of a stream has been relayed, only 200 with the media type of the first response continues it; else the attempt ends as failed, and the caller sees a truncated response.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -82,6 +82,8 @@
     void recordUpstreamState(const Attempt &attempt, const platform::UpstreamHeaders &headers, Instant now);
     /// Evaluates the response head. Returns false when the rest of the response must not be read from this connection.
     bool processHead(Attempt &attempt);
+    /// Returns false when a successful response cannot continue the stream that has already been relayed in part.
+    bool canContinueStream(const Attempt &attempt) const;
     transport::asio::awaitable<AttemptOutcome> completeResponse(Attempt &attempt);
     /// Decides whether to stop reading a response body that is not relayed, since it may never end. Returns an empty value to go on reading.
     std::optional<AttemptOutcome> abandonUnrelayedBody(Attempt &attempt, Instant now);
@@ -120,6 +122,7 @@
     ResponseRelay relay_;
     EventAssembler events_;
     fleet::RouteMatch match_;
+    std::string contentType_; ///< Of the stream that is being relayed.
     std::string service_;
     std::string organisation_;
     std::optional<int> priority_;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -4,6 +4,8 @@
 
 #include "gateway/internal/exchangecommon.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -52,6 +54,7 @@
 /// could then not be repeated safely.
 constexpr milliseconds UNSAFE_MAX_IDLE{2'500};
 constexpr milliseconds IDEMPOTENT_MAX_IDLE{60'000};
+constexpr int OK = 200;
 constexpr std::string_view KEEP_ALIVE_TIMEOUT = "timeout=";
 
 bool isSuccess(int status)
@@ -59,6 +62,12 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns the media type of a Content-Type field without parameters.
+std::string mediaType(std::string_view contentType)
+{
+    return boost::algorithm::to_lower_copy(boost::algorithm::trim_copy(std::string(contentType.substr(0, contentType.find(';')))));
+}
+
 /// Returns the idle timeout of a "Keep-Alive: timeout=N" header field, 0 if there is none.
 milliseconds statedIdleLimit(const transport::HeaderFields &fields)
 {
@@ -319,12 +328,19 @@
     if (isSuccess(status)) {
         attempt.headOutcome = AttemptOutcome::Answered;
         attempt.streaming = match_.route->kind == fleet::RequestKind::Stream;
-        return !headers.signature.empty() && !headers.encoded;
+        return !headers.signature.empty() && !headers.encoded && canContinueStream(attempt);
     }
     attempt.headOutcome = headers.notRun || status == MISDIRECTED_REQUEST ? AttemptOutcome::NotRun : AttemptOutcome::FailureAnswer;
     return true;
 }
 
+bool Exchange::canContinueStream(const Attempt &attempt) const
+{
+    // An error page sent as a success would otherwise become part of the stream, or its end.
+    return !relay_.started()
+        || (attempt.reader.status() == OK && mediaType(transport::findField(attempt.reader.fields(), "Content-Type")) == mediaType(contentType_));
+}
+
 asio::awaitable<bool> Exchange::relayAvailable(Attempt &attempt)
 {
     std::string &body = attempt.reader.body();
@@ -350,6 +366,7 @@
         recordEventTimes(now);
     }
     if (!relay_.started()) {
+        contentType_ = transport::findField(attempt.reader.fields(), "Content-Type");
         const std::string fields = platform::forwardedResponseFields(attempt.reader.fields(), true);
         co_return co_await relay_.start(attempt.reader.status(), fields, ready);
     }
