Two-hop path: an answer that stops inside its head is not complete

The gateway's reader does not do that (UpstreamTrouble.answerThatStopsInsideItsHeadIsNoSuccess), the sidecars' client did. Cause: libcurl returns CURLE_OK when the connection is closed after some header lines, and HttpClient took it for a complete response. Fix: Complete only when the blank line that ends the head has arrived, else Broken (nothing is promised, nothing is passed on as a success). Test red before: HttpClientAndServer.answerThatStopsInsideItsHeadIsNotComplete.

--- a/src/network/internal/httpclient.cpp
+++ b/src/network/internal/httpclient.cpp
@@ -104,6 +104,7 @@
         CURL *easy = nullptr;
         curl_slist *headers = nullptr;
         bool paused = false; ///< The duty's ring was full.
+        bool headComplete = false; ///< The blank line after the header fields of the last response has arrived.
     };
 
     struct Finished
@@ -127,6 +128,17 @@
         return length;
     }
 
+    /// Called for each line of a response head.
+    static size_t onHeaderLine(char *bytes, size_t size, size_t count, void *user)
+    {
+        const std::string_view line(bytes, size * count);
+        auto *transfer = static_cast<Transfer *>(user);
+        const bool isBlank = line == "\r\n" || line == "\n";
+        // Lines of a trailer follow a complete head.
+        transfer->headComplete = isBlank || (transfer->headComplete && !line.starts_with("HTTP/"));
+        return line.size();
+    }
+
     static void configure(Transfer &transfer)
     {
         CURL *easy = transfer.easy;
@@ -143,6 +155,8 @@
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMs(call.timeout));
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &ClientLoop::onData);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &ClientLoop::onHeaderLine);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
         if (call.method != "GET" && call.method != "HEAD") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
@@ -155,10 +169,11 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
     }
 
-    static CallResult classify(CURL *easy, CURLcode code)
+    static CallResult classify(CURL *easy, CURLcode code, bool headComplete)
     {
         if (code == CURLE_OK) {
-            return CallResult::Complete;
+            // libcurl reports success when the connection is closed inside the head.
+            return headComplete ? CallResult::Complete : CallResult::Broken;
         }
         if (code == CURLE_COULDNT_CONNECT) {
             return CallResult::NotConnected;
@@ -201,7 +216,8 @@
             long status = 0;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-            finished_.push_back({transfer->id, transfer->done, classify(message->easy_handle, message->data.result), static_cast<int>(status)});
+            finished_.push_back(
+                {transfer->id, transfer->done, classify(message->easy_handle, message->data.result, transfer->headComplete), static_cast<int>(status)});
             remove(transfer->id);
         }
     }
--- a/src/network/tests/network_tests.cpp
+++ b/src/network/tests/network_tests.cpp
@@ -18,6 +18,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <thread>
 
 // Last, since its macros replace operator new in what follows.
 #include <CppUTest/TestHarness.h>
@@ -137,6 +138,45 @@
     Mailbox<int> *gone_;
 };
 
+/// Accepts one connection, reads a request, writes the given bytes and closes.
+class OneAnswerServer
+{
+public:
+    OneAnswerServer(uint16_t port, std::string answer) : answer_(std::move(answer)), descriptor_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int enabled = 1;
+        setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        CHECK(bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+        CHECK(listen(descriptor_, 1) == 0);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~OneAnswerServer()
+    {
+        thread_.join();
+        close(descriptor_);
+    }
+
+private:
+    void serve() const
+    {
+        const int connection = accept(descriptor_, nullptr, nullptr);
+        char buffer[4096];
+        if (recv(connection, buffer, sizeof(buffer), 0) > 0) {
+            ::send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+        }
+        close(connection);
+    }
+
+    std::string answer_;
+    int descriptor_;
+    std::thread thread_;
+};
+
 constexpr const char *LATE_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nFIRST";
 } // namespace
 
@@ -292,6 +332,19 @@
     CHECK(results.take() == CallResult::Broken);
 }
 
+TEST(HttpClientAndServer, answerThatStopsInsideItsHeadIsNotComplete)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n";
+    for (const size_t length : {size_t{7}, size_t{17}, size_t{25}, size_t{39}, whole.size() - 2}) {
+        const OneAnswerServer cut(18097, whole.substr(0, length));
+        call("http://127.0.0.1:18097/x");
+        CHECK(results.take() == CallResult::Broken);
+    }
+    const OneAnswerServer complete(18097, whole);
+    call("http://127.0.0.1:18097/x");
+    CHECK(results.take() == CallResult::Complete);
+}
+
 TEST(HttpClientAndServer, nothingWasSentWhereNobodyListens)
 {
     call("http://127.0.0.1:18099/x");
