A stream without any event is given up just before its caller leaves

Cause: three quarters of the patience had passed before the stall could be noticed, and nothing ended the request between that and the caller's leaving. Fix: what has brought no event is answered (504, or a true 503 if it was never sent) at 19 parts in 20 of the time after which callers leave, for all streams, whatever is believed of the upstream; nothing is sent any more after it. Test red before (answered after 6 s): UpstreamTrouble.streamWithoutFirstEventIsAnsweredBeforeItsCallerLeavesAndRunsUnattended.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -93,6 +93,8 @@
     Duration streamPatience() const;
     /// Returns true when the upstream does not respond while others do, and the stream can be continued at one of these.
     bool shouldFailOver(const Attempt &attempt, Instant now) const;
+    /// When a stream without any event is given up, since its caller is about to leave and the request could then run unattended.
+    Instant firstEventLimit() const;
     /// Returns true when a stream has not begun, is not about to, and its caller is about to leave.
     bool isWaitingInVain(const Attempt &attempt, Instant now) const;
     void recordProgress(const Attempt &attempt, Instant now);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -182,7 +182,8 @@
             last = AttemptOutcome::CallerGone;
             break;
         }
-        if (now + MIN_ATTEMPT_TIME >= deadline_) {
+        const bool isCallerLeaving = match_.route->kind == fleet::RequestKind::Stream && !relay_.started() && now + MIN_ATTEMPT_TIME >= firstEventLimit();
+        if (now + MIN_ATTEMPT_TIME >= deadline_ || isCallerLeaving) {
             last = AttemptOutcome::TimedOut;
             break;
         }
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -34,6 +34,9 @@
 /// Fraction of that time after which a stalled stream is resumed at another upstream, so that its next event arrives before the caller leaves.
 constexpr int FAILOVER_NUMERATOR = 3;
 constexpr int FAILOVER_DENOMINATOR = 4;
+/// Fraction of the patience after which a stream without any event is given up, just before its caller would leave.
+constexpr int GIVE_UP_NUMERATOR = 19;
+constexpr int GIVE_UP_DENOMINATOR = 20;
 /// Interval at which the silence of a stream's upstream is evaluated.
 constexpr milliseconds SILENCE_CHECK_INTERVAL{50};
 /// Maximum size of an error response's body that is passed on to the caller.
@@ -229,6 +232,9 @@
         if (attempt.headReceived && (attempt.streaming || attempt.headOutcome != AttemptOutcome::Answered)) {
             waitUntil = std::min<Instant>(waitUntil, now + UNRELAYED_BODY_TIMEOUT);
         }
+        if (match_.route->kind == fleet::RequestKind::Stream && !relay_.started()) {
+            waitUntil = std::min(waitUntil, firstEventLimit());
+        }
         if (attempt.silenceId) {
             waitUntil = std::min<Instant>(waitUntil, now + SILENCE_CHECK_INTERVAL);
         }
@@ -282,10 +288,18 @@
         && context_.silenceDetector.shouldFailOver(*attempt.silenceId, now) && context_.retryBudget.canRetry(service_, now);
 }
 
+Instant Exchange::firstEventLimit() const
+{
+    return request_.receivedAt + streamPatience() * GIVE_UP_NUMERATOR / GIVE_UP_DENOMINATOR;
+}
+
 bool Exchange::isWaitingInVain(const Attempt &attempt, Instant now) const
 {
-    return attempt.silenceId && !relay_.started() && now - request_.receivedAt > streamPatience() * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR
-        && context_.silenceDetector.isWaitingInVain(*attempt.silenceId, now);
+    if (match_.route->kind != fleet::RequestKind::Stream || relay_.started()) {
+        return false;
+    }
+    const bool isLate = now - request_.receivedAt > streamPatience() * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR;
+    return now >= firstEventLimit() || (isLate && attempt.silenceId && context_.silenceDetector.isWaitingInVain(*attempt.silenceId, now));
 }
 
 void Exchange::recordProgress(const Attempt &attempt, Instant now)
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -625,3 +625,17 @@
         }
     }
 }
+
+TEST(UpstreamTrouble, streamWithoutFirstEventIsAnsweredBeforeItsCallerLeavesAndRunsUnattended)
+{
+    constexpr milliseconds patience{2'000};
+    fixture->addUpstream("u1", "plain", [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+        co_await transport::sleepFor(seconds{6});
+        co_await send(connection, withId(STREAM_HEAD, received) + event(1, "one") + LAST_CHUNK);
+    });
+    for (const std::string path : {"/stream/", "/once/"}) {
+        const auto startedAt = framework::monotonicNow();
+        LONGS_EQUAL(504, fixture->call(request("POST", path)).status);
+        CHECK(framework::monotonicNow() - startedAt < patience);
+    }
+}
