--- a/src/dispatch/internal/silencedetector.cpp
+++ b/src/dispatch/internal/silencedetector.cpp
@@ -169,12 +169,12 @@
     return upstream.silent || now - std::max(progress.lastAt, found->second.lastAt) > limit(progress, SILENT_AFTER_WAITING, SILENT_PAUSES_WAITING);
 }
 
-Duration SilenceDetector::limit(const ServiceProgress &progress, Duration minimum, int pauses) const
+Duration SilenceDetector::limit(const ServiceProgress &progress, Duration minimum, int pauses)
 {
     return std::max(minimum, progress.meanPause * pauses);
 }
 
-bool SilenceDetector::isProgressing(const ServiceProgress &progress, Instant now) const
+bool SilenceDetector::isProgressing(const ServiceProgress &progress, Instant now)
 {
     return now - progress.lastAt <= limit(progress, MAX_GAP, MAX_GAP_PAUSES);
 }
--- a/src/dispatch/silencedetector.h
+++ b/src/dispatch/silencedetector.h
@@ -34,8 +34,8 @@
     std::vector<std::string> silentUpstreams(std::string_view service, framework::Instant now);
     /// True if the upstream of the attempt is silent and the stream should be continued at another one.
     bool shouldFailOver(AttemptId attempt, framework::Instant now);
-    /// True if all streams of @p service have stopped, so that further requests could only wait. When none is under way any more, a single
-    /// request tests the service.
+    /// True if all begun streams of @p service have stopped, so that further requests could only wait. When none is under way any more, a single
+    /// request tests the service. PassTimeTracker::stalled() covers streams that have not begun.
     bool isServiceSilent(std::string_view service, framework::Instant now);
     /// True if nothing has arrived on the attempt and its upstream, or all streams of its service, are silent.
     bool isWaitingInVain(AttemptId attempt, framework::Instant now);
@@ -74,11 +74,13 @@
         bool begun = false;
     };
 
-    framework::Duration limit(const ServiceProgress &progress, framework::Duration minimum, int pauses) const;
-    bool isProgressing(const ServiceProgress &progress, framework::Instant now) const;
+    /// The longer of @p minimum and @p pauses mean pauses between events.
+    static framework::Duration limit(const ServiceProgress &progress, framework::Duration minimum, int pauses);
+    static bool isProgressing(const ServiceProgress &progress, framework::Instant now);
     void changeCounts(Upstream &upstream, int begun, int waiting, framework::Instant now);
     /// Marks @p upstream as silent if it is.
     void update(std::string_view name, Upstream &upstream, framework::Instant now);
+    /// When the oldest stream of @p upstream that has received nothing was sent, @p now if there is none.
     framework::Instant oldestWaiting(std::string_view upstream, framework::Instant now) const;
     Upstream *find(std::string_view upstream);
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -308,13 +308,13 @@
         const bool delivered = co_await relay_.sendComplete(failureResponse_->status, failureResponse_->fieldLines, failureResponse_->body);
         co_return delivered &&canKeepConnection();
     }
-    if (outcome == AttemptOutcome::TimedOut) {
+    if (outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled) {
         if (mayHaveRun_) {
             co_return co_await sendFailure(ResultCode::DeadlinePassed, GATEWAY_TIMEOUT);
         }
         co_return co_await sendRefusal(ResultCode::DeadlinePassed, LATE_RETRY_AFTER);
     }
-    co_return co_await sendFailure(ResultCode::OutcomeUnknown, outcome == AttemptOutcome::Stalled ? GATEWAY_TIMEOUT : BAD_GATEWAY);
+    co_return co_await sendFailure(ResultCode::OutcomeUnknown, BAD_GATEWAY);
 }
 
 asio::awaitable<bool> Exchange::sendGatewayResponse(int status, ResultCode code, std::optional<milliseconds> retryAfter)
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -1,9 +1,7 @@
 // Tests of faulty and overloaded upstreams over loopback connections: draining, refusals, endless data, truncated, late or duplicate responses,
 // slow and stalled streams.
 
-#include "gatewayfixture.h"
-
-#include <boost/asio/write.hpp>
+#include "upstreamtroublefixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,35 +21,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char *CONFIG = R"({"version":1,"routes":[
- {"name":"safe","host":"a.example","prefix":"/safe/","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
- {"name":"unsafe","host":"a.example","prefix":"/unsafe/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
- {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":0,"target_latency_ms":400,"priority":1,"service":"plain","max_attempts":2,"public":true,"resumable":true},
- {"name":"once","host":"a.example","prefix":"/once/","kind":"stream","timeout_ms":0,"target_latency_ms":400,"priority":1,"service":"plain","max_attempts":2,"public":true,"resumable":false}],
- "services":[{"name":"plain","health_path":"/h","max_connections":100,"cold_start_s":0,"cold_per_s":0}],
- "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":2000},"tenants":[]})";
 constexpr size_t MEGABYTE = 1U << 20U;
 /// Limit for the growth of the process while endless data arrives: several times one connection's inbox and the buffered response.
 constexpr size_t MAX_MEMORY_GROWTH = 24 * MEGABYTE;
 
-std::string request(const std::string &method, const std::string &path, const std::string &id = "r1", const std::string &fields = "")
-{
-    return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id + "\r\n" + fields + "\r\n";
-}
-
-std::string withId(std::string bytes, const ReceivedRequest &received)
-{
-    if (const size_t at = bytes.find("ID"); at != std::string::npos) {
-        bytes.replace(at, 2, received.field("X-Request-Id"));
-    }
-    return bytes;
-}
-
-std::string head(const std::string &status, const std::string &fields)
-{
-    return "HTTP/1.1 " + status + "\r\nX-Request-Id: ID\r\n" + fields + "\r\n";
-}
-
 /// Sends @p begin and then repeats @p unit until the peer closes the connection.
 Script sendingWithoutEnd(const std::string &begin, const std::string &unit)
 {
@@ -79,25 +52,6 @@
 #endif
 }
 
-/// Creates a fixture that is kept until the process ends, since suspended coroutines refer to it, and stays reachable for leak checkers.
-GatewayFixture *newFixture()
-{
-    static auto &fixtures = *new std::vector<GatewayFixture *>;
-    fixtures.push_back(new GatewayFixture);
-    fixtures.back()->configure(CONFIG);
-    return fixtures.back();
-}
-
-std::string event(int id, const std::string &text)
-{
-    const std::string bytes = "id: " + std::to_string(id) + "\ndata: " + text + "\n\n";
-    std::array<char, 16> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx", bytes.size());
-    return std::string(size.data(), static_cast<size_t>(length)) + "\r\n" + bytes + "\r\n";
-}
-
-const std::string STREAM_HEAD = head("200 OK", "X-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-const std::string LAST_CHUNK = "0\r\n\r\n";
 } // namespace
 
 TEST_GROUP(UpstreamTrouble)
@@ -465,177 +419,3 @@
     CHECK(caller->receiveBuffer().find("done") != std::string_view::npos);
     CHECK(caller->receiveBuffer().find("Connection: close") != std::string_view::npos);
 }
-
-TEST(UpstreamTrouble, requestWhoseCallerHasLeftIsNotPassedOn)
-{
-    auto &upstream = fixture->addUpstream("u1", "plain", [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-        co_await send(connection, answer(received, "too late"));
-    });
-    // The request and the end of the connection are both in the gateway's receive queue before it reads, as after a freeze of the gateway.
-    asio::ip::tcp::socket caller(fixture->reactor);
-    caller.connect(fixture->endpoint());
-    asio::write(caller, asio::buffer(request("GET", "/safe/")));
-    caller.close();
-    fixture->reactor.run_for(milliseconds{300});
-    LONGS_EQUAL(0, upstream.received.size());
-}
-
-TEST(UpstreamTrouble, repeatedRefusalOnKeptConnectionIsNotTakenForTheNextRequest)
-{
-    int count = 0;
-    const Script script = [&count](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-        const std::string refusal = withId(head("503 Service Unavailable", "X-Not-Executed: 1\r\nContent-Length: 0\r\n"), received);
-        if (++count == 1) {
-            co_await send(connection, refusal);
-            co_await transport::sleepFor(milliseconds{50});
-            // Written once more while the connection is idle, or just as it is used again.
-            co_await send(connection, refusal);
-            co_return;
-        }
-        co_await transport::sleepFor(milliseconds{100});
-        co_await send(connection, answer(received, "ran"));
-    };
-    fixture->addUpstream("u1", "plain", script);
-    LONGS_EQUAL(503, fixture->call(request("POST", "/unsafe/", "r1")).status);
-    const CallerResult second = fixture->call(request("POST", "/unsafe/", "r2"));
-    LONGS_EQUAL(200, second.status);
-    STRCMP_EQUAL("ran", second.body.c_str());
-}
-
-TEST(UpstreamTrouble, repeatedRefusalWithoutIdOnKeptConnectionIsNotReportedAsNotRun)
-{
-    int count = 0;
-    const Script script = [&count](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-        if (++count == 1) {
-            co_await send(connection, refusal);
-            co_return;
-        }
-        // The earlier refusal comes in place of an answer, while the request runs.
-        co_await send(connection, refusal);
-        co_await transport::sleepFor(milliseconds{100});
-        co_await send(connection, answer(received, "ran"));
-    };
-    auto &upstream = fixture->addUpstream("u1", "plain", script);
-    LONGS_EQUAL(503, fixture->call(request("POST", "/unsafe/", "r1")).status);
-    const CallerResult second = fixture->call(request("POST", "/unsafe/", "r2"));
-    CHECK(upstream.received.size() == 2);
-    CHECK(second.status != 503 && second.status != 429 && second.status != 408 && second.status != 421);
-}
-
-TEST(UpstreamTrouble, repeatedRefusalOfAnEarlierRequestDoesNotMakeARunningOneRunTwice)
-{
-    int runs = 0;
-    std::string refusal;
-    const Script script = [&](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-        if (refusal.empty()) {
-            refusal = withId(head("503 Service Unavailable", "X-Not-Executed: 1\r\nContent-Length: 0\r\n"), received);
-            co_await send(connection, refusal);
-            co_return;
-        }
-        ++runs;
-        co_await send(connection, refusal);
-        co_await transport::sleepFor(milliseconds{50});
-        co_await send(connection, refusal);
-        co_await transport::sleepFor(milliseconds{100});
-        co_await send(connection, answer(received, "ran"));
-    };
-    fixture->addUpstream("u1", "plain", script);
-    fixture->call(request("POST", "/unsafe/", "r1"));
-    fixture->addUpstream("u2", "plain", script);
-    for (int i = 2; i < 8; ++i) {
-        const CallerResult result = fixture->call(request("POST", "/unsafe/", "r" + std::to_string(i)));
-        LONGS_EQUAL(200, result.status);
-        STRCMP_EQUAL("ran", result.body.c_str());
-    }
-    LONGS_EQUAL(6, runs);
-}
-
-TEST(UpstreamTrouble, errorOfTheNextUpstreamDoesNotEnterABrokenStream)
-{
-    for (const std::string status : {"500 Internal Server Error", "503 Service Unavailable", "404 Not Found"}) {
-        for (const bool framed : {true, false}) {
-            fixture = newFixture();
-            const Script script = [status, framed](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-                if (received.field("Last-Event-Id").empty()) {
-                    co_await send(connection, withId(STREAM_HEAD, received) + event(1, "one") + event(2, "two"));
-                    co_await transport::sleepFor(milliseconds{50});
-                    connection->reset();
-                    co_return;
-                }
-                const std::string text = "data: error text\n\n";
-                std::string fields = "Connection: close\r\n";
-                if (framed) {
-                    fields = "Content-Length: " + std::to_string(text.size()) + "\r\n";
-                }
-                const std::string response = withId(head(status, fields), received) + text;
-                co_await send(connection, response);
-                connection->close();
-            };
-            fixture->addUpstream("u1", "plain", script);
-            fixture->addUpstream("u2", "plain", script);
-            const CallerResult result = fixture->call(request("POST", "/stream/"));
-            CHECK_FALSE(result.complete);
-            STRCMP_EQUAL("id: 1\ndata: one\n\nid: 2\ndata: two\n\n", result.body.c_str());
-        }
-    }
-}
-
-TEST(UpstreamTrouble, streamContinuedByAnswerWithoutEventsDoesNotEndAsComplete)
-{
-    for (const std::string type : {"text/html", "application/json"}) {
-        fixture = newFixture();
-        const Script script = [type](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-            if (received.field("Last-Event-Id").empty()) {
-                co_await send(connection, withId(STREAM_HEAD, received) + event(1, "one"));
-                co_await transport::sleepFor(milliseconds{50});
-                connection->reset();
-                co_return;
-            }
-            co_await send(connection, withId(head("200 OK", "X-Response-Seal: s\r\nContent-Type: " + type + "\r\nContent-Length: 5\r\n"), received) + "error");
-        };
-        fixture->addUpstream("u1", "plain", script);
-        fixture->addUpstream("u2", "plain", script);
-        const CallerResult result = fixture->call(request("POST", "/stream/"));
-        CHECK_FALSE(result.complete);
-        STRCMP_EQUAL("id: 1\ndata: one\n\n", result.body.c_str());
-    }
-}
-
-TEST(UpstreamTrouble, answerThatStopsInsideItsHeadIsNoSuccess)
-{
-    const std::string whole = head("200 OK", "X-Response-Seal: s\r\nContent-Length: 4\r\n");
-    for (const std::string path : {"/safe/", "/unsafe/", "/stream/", "/once/"}) {
-        for (const size_t length : {size_t{5}, size_t{15}, whole.find("X-Response") + 3, whole.find("Content-Length") + 3, whole.size() - 2}) {
-            for (const bool reset : {false, true}) {
-                fixture = newFixture();
-                const Script script = [&, length, reset](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-                    co_await send(connection, withId(whole, received).substr(0, length));
-                    co_await transport::sleepFor(milliseconds{10});
-                    if (reset) {
-                        connection->reset();
-                    } else {
-                        connection->close();
-                    }
-                };
-                fixture->addUpstream("u1", "plain", script);
-                fixture->addUpstream("u2", "plain", script);
-                LONGS_EQUAL(502, fixture->call(request("POST", path)).status);
-            }
-        }
-    }
-}
-
-TEST(UpstreamTrouble, streamWithoutFirstEventIsAnsweredBeforeItsCallerLeavesAndRunsUnattended)
-{
-    constexpr milliseconds patience{2'000};
-    fixture->addUpstream("u1", "plain", [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
-        co_await transport::sleepFor(seconds{6});
-        co_await send(connection, withId(STREAM_HEAD, received) + event(1, "one") + LAST_CHUNK);
-    });
-    for (const std::string path : {"/stream/", "/once/"}) {
-        const auto startedAt = framework::monotonicNow();
-        LONGS_EQUAL(504, fixture->call(request("POST", path)).status);
-        CHECK(framework::monotonicNow() - startedAt < patience);
-    }
-}
