Two-hop path: an earlier refusal written once more is not taken for the next answer

From the operators' further reports: a faulty back end wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that had run. The sidecar's upstreams send no id, and libcurl took the repeated refusal for the answer of the next request on the connection. Fix: a call that runs a request at an upstream has its own connection; both are on one VM, so that a connection costs little. Test red before ("refused" instead of "ran"): HttpClientAndServer.repeatedRefusalIsNotTakenForTheAnswerOfACallWithItsOwnConnection.

--- a/src/daemon/engineadapter.cpp
+++ b/src/daemon/engineadapter.cpp
@@ -81,6 +81,7 @@
     network::HttpCall call = request.model ? modelCall(request) : plainCall(request);
     call.url = "http://" + address_ + request.path;
     call.timeout = Duration{0};
+    call.ownConnection = true; // Answers of upstreams carry no request id.
     const AttemptId attempt = request.attempt;
     network::HttpCallHooks hooks;
     hooks.data = [this, attempt](int status, std::string_view bytes) { onData(attempt, status, bytes); };
--- a/src/network/httpclient.h
+++ b/src/network/httpclient.h
@@ -25,6 +25,7 @@
     std::string body;
     framework::Duration connectTimeout = framework::milliseconds{500};
     framework::Duration timeout = framework::seconds{5}; ///< Of the whole call; 0 for none.
+    bool ownConnection = false; ///< No other call uses the connection, so that a late duplicate of another answer cannot be taken for this one's.
 };
 
 enum class CallResult : uint8_t {
--- a/src/network/internal/httpclient.cpp
+++ b/src/network/internal/httpclient.cpp
@@ -151,6 +151,8 @@
         curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.ownConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.ownConnection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toMs(call.connectTimeout));
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMs(call.timeout));
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &ClientLoop::onData);
--- a/src/network/tests/network_tests.cpp
+++ b/src/network/tests/network_tests.cpp
@@ -177,6 +177,58 @@
     std::thread thread_;
 };
 
+/// Refuses the first request, and writes that refusal once more before the answer to each further request on the same connection.
+class RepeatedRefusalServer
+{
+public:
+    RepeatedRefusalServer(uint16_t port, int requests) : requests_(requests), descriptor_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int enabled = 1;
+        setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        CHECK(bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+        CHECK(listen(descriptor_, 1) == 0);
+        thread_ = std::thread([this] { serve(); });
+    }
+
+    ~RepeatedRefusalServer()
+    {
+        stopping_ = true;
+        shutdown(descriptor_, SHUT_RDWR);
+        shutdown(connection_, SHUT_RDWR);
+        thread_.join();
+        close(descriptor_);
+    }
+
+private:
+    void serve()
+    {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nrefused";
+        const std::string ran = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran";
+        int received = 0;
+        while (received < requests_ && !stopping_) {
+            const int connection = accept(descriptor_, nullptr, nullptr);
+            connection_ = connection;
+            char buffer[4096];
+            for (bool kept = false; received < requests_ && recv(connection, buffer, sizeof(buffer), 0) > 0; kept = true) {
+                const std::string answer = received == 0 ? refusal : kept ? refusal + ran : ran;
+                ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+                ++received;
+            }
+            close(connection);
+        }
+    }
+
+    int requests_;
+    int descriptor_;
+    std::atomic<int> connection_{-1}; ///< The connection that is being served.
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
 constexpr const char *LATE_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nFIRST";
 } // namespace
 
@@ -272,6 +324,7 @@
     std::unique_ptr<network::ClientPort> port;
     Mailbox<CallResult> results;
     std::string body;
+    bool ownConnection = false;
 
     void setup() override
     {
@@ -299,6 +352,7 @@
         inbox->post([this, url, id] {
             network::HttpCall request;
             request.url = url;
+            request.ownConnection = ownConnection;
             network::HttpCallHooks hooks;
             hooks.data = [this](int, std::string_view bytes) { body += bytes; };
             hooks.done = [this](CallResult result, int) { results.put(result); };
@@ -345,6 +399,18 @@
     CHECK(results.take() == CallResult::Complete);
 }
 
+TEST(HttpClientAndServer, repeatedRefusalIsNotTakenForTheAnswerOfACallWithItsOwnConnection)
+{
+    ownConnection = true;
+    const RepeatedRefusalServer faulty(18098, 3);
+    for (const std::string expected : {"refused", "ran", "ran"}) {
+        body.clear();
+        call("http://127.0.0.1:18098/x");
+        CHECK(results.take() == CallResult::Complete);
+        STRCMP_EQUAL(expected.c_str(), body.c_str());
+    }
+}
+
 TEST(HttpClientAndServer, nothingWasSentWhereNobodyListens)
 {
     call("http://127.0.0.1:18099/x");
