--- /dev/null
+++ b/src/expertmap/tests/laterelease_tests.cpp
@@ -0,0 +1,162 @@
+// Tests of orders that a rank executes seconds after they were sent, among newer orders of the same controller or of its successor.
+
+#include "simulatedgroup.h"
+#include "switchdriver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount::expertmap;
+using namespace daisymount::expertmap::tests;
+
+namespace
+{
+constexpr int RANKS = 4;
+constexpr int64_t FENCING = 7;
+} // namespace
+
+TEST_GROUP(LateRelease)
+{
+    Instant now{std::chrono::seconds{1}};
+
+    Driver change(SimulatedGroup & group, int64_t version, int64_t fencing)
+    {
+        return Driver(group,
+                      std::make_unique<GroupSwitch>(SwitchOptions::lowLatency(), changeTo(version, fencing, group.epoch(), RANKS), group.reports(),
+                                                    milliseconds{50}, now));
+    }
+
+    Driver cleanUp(SimulatedGroup & group, int64_t version, int64_t fencing)
+    {
+        return Driver(group,
+                      std::make_unique<GroupSwitch>(
+                          GroupSwitch::cleanUp(SwitchOptions::lowLatency(), changeTo(version, fencing, group.epoch(), RANKS), group.reports(), now)));
+    }
+
+    RankOrder orderOf(OrderKind kind, int64_t version, int64_t pass)
+    {
+        RankOrder order;
+        order.kind = kind;
+        order.epoch = 1;
+        order.fencing = FENCING;
+        order.version = version;
+        order.pass = pass;
+        return order;
+    }
+
+    /// Runs @p driver until all ranks are armed and the release order is unanswered. Returns the release order.
+    std::optional<SwitchCommand> armAllAndLoseRelease(SimulatedGroup & group, Driver & driver)
+    {
+        for (int i = 0; i < 500; ++i, now += STEP) {
+            group.advance(now);
+            for (const SwitchCommand &command : driver.change().tick(now)) {
+                if (command.order && command.order->kind == OrderKind::Go) {
+                    return command;
+                }
+                driver.send(command, now);
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+TEST(LateRelease, doesNotMixMapsWhileTheSameControllerTakesItsChangeBack)
+{
+    // The release may be executed before any order of the clean-up.
+    for (int delay = 0; delay < 60; ++delay) {
+        SimulatedGroup group(RANKS, {}, 1);
+        Driver dropped = change(group, 1, FENCING);
+        const std::optional<SwitchCommand> release = armAllAndLoseRelease(group, dropped);
+        CHECK(release.has_value());
+        for (int i = 0; i < 30; ++i, now += STEP) {
+            group.advance(now);
+        }
+        LONGS_EQUAL(RANKS, group.armedRanks());
+        Driver successor = cleanUp(group, 2, FENCING);
+        int calls = 0;
+        for (int i = 0; i < 500 && !successor.change().finished(); ++i, now += STEP) {
+            for (const SwitchCommand &command : successor.change().tick(now)) {
+                if (calls++ == delay) {
+                    group.order(release->rank, *release->order, now);
+                    for (int pass = 0; pass < 20; ++pass) {
+                        group.advance(now + pass * std::chrono::milliseconds{50});
+                    }
+                }
+                successor.send(command, now);
+            }
+            group.advance(now);
+        }
+        CHECK_FALSE(group.mixedMaps());
+    }
+}
+
+TEST(LateRelease, doesNotEndTheHoldOfALaterChangeAtTheSamePass)
+{
+    SimulatedGroup group(RANKS, {}, 1);
+    group.advance(now);
+    group.idle = true;
+    Driver first = change(group, 1, FENCING);
+    const std::optional<SwitchCommand> release = armAllAndLoseRelease(group, first);
+    CHECK(release.has_value());
+    Driver back = cleanUp(group, 2, FENCING);
+    now = runUntilFinished(group, back, now, now + std::chrono::seconds{5});
+    CHECK_FALSE(group.hasArmOrHold());
+    // An idle group makes no passes, so that the next change holds the same one.
+    Driver second = change(group, back.change().highestVersion() + 1, FENCING);
+    const std::optional<SwitchCommand> next = armAllAndLoseRelease(group, second);
+    CHECK(next.has_value());
+    LONGS_EQUAL(release->order->pass, next->order->pass);
+    group.order(release->rank, *release->order, now);
+    CHECK(group.isHeld());
+}
+
+TEST(LateRelease, neverMixesMapsWhenControllersDropChangesAndOrdersComeLateAndTwice)
+{
+    constexpr uint64_t SEEDS = 10'000;
+    int switched = 0;
+    for (uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        now = Instant{std::chrono::seconds{1}};
+        SimulatedGroup::Faults faults{0.15, 0.1, 0.3, true, std::chrono::milliseconds{50}, std::chrono::milliseconds{1'500}};
+        SimulatedGroup group(RANKS, faults, seed);
+        std::mt19937_64 random(seed);
+        int64_t fencing = FENCING;
+        int64_t version = 1;
+        for (int round = 0; round < 4; ++round) {
+            const bool leftover = group.isHeld();
+            if (!leftover && group.armedRanks() > 0) {
+                // Without a hold, armed ranks switch by themselves.
+                for (int i = 0; i < 60; ++i, now += STEP) {
+                    group.advance(now);
+                }
+                continue;
+            }
+            Driver driver = leftover ? cleanUp(group, version, fencing) : change(group, version, fencing);
+            const int steps = 5 + static_cast<int>(random() % 120);
+            for (int i = 0; i < steps && !driver.change().finished(); ++i, now += STEP) {
+                group.advance(now);
+                driver.step(now);
+            }
+            switched += driver.change().phase() == SwitchPhase::Switched ? 1 : 0;
+            version = driver.change().highestVersion() + 1;
+            // A controller that has lost sight of a rank begins again; sometimes another one takes over.
+            fencing += random() % 3 == 0 ? 1 : 0;
+            CHECK_FALSE_TEXT(group.mixedMaps(), std::to_string(seed).c_str());
+        }
+        for (int i = 0; i < 200; ++i, now += STEP) {
+            group.advance(now);
+        }
+        CHECK_FALSE_TEXT(group.mixedMaps(), std::to_string(seed).c_str());
+        for (int round = 0; round < 20 && group.hasArmOrHold(); ++round) {
+            if (group.isHeld()) {
+                Driver last = cleanUp(group, version, fencing);
+                now = runUntilFinished(group, last, now, now + std::chrono::seconds{20});
+                version = last.change().highestVersion() + 1;
+            }
+            for (int i = 0; i < 200; ++i, now += STEP) {
+                group.advance(now);
+            }
+        }
+        CHECK_FALSE_TEXT(group.hasArmOrHold(), std::to_string(seed).c_str());
+        CHECK_FALSE_TEXT(group.mixedMaps(), std::to_string(seed).c_str());
+    }
+    CHECK_TEXT(switched > static_cast<int>(SEEDS) / 4, "changes must succeed although orders come late");
+}
--- a/src/expertmap/tests/simulatedgroup.h
+++ b/src/expertmap/tests/simulatedgroup.h
@@ -20,6 +20,10 @@
     {
         double executedLate = 0.0; ///< Probability that an order is unanswered and executed seconds later.
         double replyLost = 0.0; ///< Probability that an order is executed at once, but its reply is lost.
+        double executedAgain = 0.0; ///< Probability that a late order is executed once more.
+        bool lateUnfenced = false; ///< Late orders are not checked against the fencing number.
+        std::chrono::milliseconds minDelay{2'000}; ///< Of late orders.
+        std::chrono::milliseconds maxDelay{12'000};
     };
 
     SimulatedGroup(int ranks, const Faults &faults, uint64_t seed) : ranks_(static_cast<size_t>(ranks)), faults_(faults), random_(seed)
@@ -32,8 +36,10 @@
             return std::nullopt;
         }
         if (chance(faults_.executedLate)) {
-            const auto delay = std::chrono::milliseconds(2'000 + static_cast<int64_t>(random_() % 10'000));
-            lateOrders_.push_back({now + delay, rank, copyOf(order)});
+            executeLater(rank, order, now);
+            if (chance(faults_.executedAgain)) {
+                executeLater(rank, order, now);
+            }
             return std::nullopt;
         }
         const OrderOutcome outcome = execute(rank, order);
@@ -75,7 +81,7 @@
                 ++order;
                 continue;
             }
-            execute(order->rank, order->order);
+            execute(order->rank, order->order, !faults_.lateUnfenced);
             order = lateOrders_.erase(order);
         }
         if (idle || now < nextPass_) {
@@ -125,6 +131,14 @@
     {
         return std::ranges::any_of(ranks_, [](const Rank &rank) { return rank.armed || rank.held; });
     }
+    bool isHeld() const
+    {
+        return std::ranges::any_of(ranks_, [](const Rank &rank) { return rank.held.has_value(); });
+    }
+    int armedRanks() const
+    {
+        return static_cast<int>(std::ranges::count_if(ranks_, [](const Rank &rank) { return rank.armed.has_value(); }));
+    }
     Duration heldTime() const
     {
         return heldTime_;
@@ -162,6 +176,12 @@
         return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < probability;
     }
 
+    void executeLater(int rank, const RankOrder &order, Instant now)
+    {
+        const auto range = static_cast<uint64_t>((faults_.maxDelay - faults_.minDelay).count());
+        lateOrders_.push_back({now + faults_.minDelay + std::chrono::milliseconds(random_() % range), rank, copyOf(order)});
+    }
+
     static RankOrder copyOf(const RankOrder &order)
     {
         RankOrder copy = order;
@@ -169,13 +189,13 @@
         return copy;
     }
 
-    OrderOutcome execute(int index, const RankOrder &order)
+    OrderOutcome execute(int index, const RankOrder &order, bool fenced = true)
     {
         Rank &rank = ranks_[static_cast<size_t>(index)];
-        if (order.fencing < rank.highestFencing) {
+        if (fenced && order.fencing < rank.highestFencing) {
             return OrderOutcome::Fenced;
         }
-        rank.highestFencing = order.fencing;
+        rank.highestFencing = std::max(rank.highestFencing, order.fencing);
         if (order.epoch != epoch_ || (order.expectedSequence && *order.expectedSequence != rank.sequence)) {
             return OrderOutcome::Conflict;
         }
