A late release neither ends a clean-up's hold nor the hold of a later change

Cause: whoever took a change back relied on the hold at the rank to which the go of that change had been sent. A go that is executed late fits in pass, epoch and fencing number and ends that hold between two disarms. Moving the sequence number on does not help there: an armed rank accepts no prepare.

Now changes hold the pass at rank 0 only, and a clean-up first holds the same pass at another rank (Claiming), to which no go is sent before all ranks are disarmed and sealed; a rank that does not answer is passed over for the next one. Gos, disarms, claims and sealing prepares name the rank's order sequence, so that a late one is rejected once the rank has accepted another prepare; the go of a clean-up names that of its own seal. A go whose sequence number is out of date reads the report: another controller's prepare ends the change without a release. Also found: a claim repeated without a sequence number could hold the pass again after the clean-up had released it.

Weighed: a fencing number of its own for each clean-up (model: mixed maps where a late order is checked as it arrives, also between two controllers); only the way forward (a successor cannot know whether a late disarm is pending).

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -4,8 +4,10 @@
 // the whole group there because the ranks run in lock-step. 3. Arm: every rank is ordered to switch maps at H. 4. Go: once all ranks are
 // armed, the hold is released. H lies far enough ahead that the group does not wait if all replies arrive in time.
 //
-// An order may be lost, executed twice because of a retry, or executed seconds after its time-out. A hold and an arm therefore carry the
-// rank's order sequence number, which only a prepare increments: late ones are rejected once the rank has accepted another prepare.
+// An order may be lost, executed twice because of a retry, or executed seconds after its time-out. Orders therefore carry the rank's order
+// sequence number, which only a prepare increments: late ones are rejected once the rank has accepted another prepare. An armed rank accepts
+// no prepare, so that a late go cannot be rejected while its change is taken back. A change is therefore held at rank 0 only, and a clean-up
+// first holds the same pass at another rank, where no go for it can be pending before all ranks are disarmed.
 
 #pragma once
 
@@ -31,7 +33,7 @@
 };
 
 enum class SwitchPhase : uint8_t {
-    Claiming, ///< Clean-up only: the hold is repeated so that the holding rank rejects the earlier controller's fencing number.
+    Claiming, ///< Clean-up only: the pass is held at a second rank, where no late go of the change can release it.
     Preparing,
     Holding,
     Arming,
@@ -63,6 +65,16 @@
     static SwitchOptions lossTolerant();
 };
 
+/// What is known of a change, for the log.
+struct SwitchState
+{
+    int64_t heldPass = 0; ///< 0 if no hold was ordered.
+    int holdingRanks = 0; ///< Ranks that hold the pass or may come to hold it.
+    int armed = 0;
+    int armUnknown = 0; ///< Ranks that may be armed.
+    int unanswered = 0; ///< Calls under way.
+};
+
 /// The map to switch to.
 struct MapChange
 {
@@ -92,8 +104,12 @@
     bool finished() const;
     /// True if a rank has seen a higher fencing number: another controller has taken over, and this one must send no more orders.
     bool superseded() const;
-    /// Ends the change because the ranks of the group have changed, which discards its orders on all of them.
+    /// True once a go may have been sent. The hold can then be released at any time, so that the change can only be completed.
+    bool releasing() const;
+    /// Ends the change without further orders: the group has a new epoch, or the clean-up is left to a later change. Not while releasing(),
+    /// unless the group has a new epoch.
     void abandon(std::string_view reason);
+    SwitchState state() const;
     /// Why the change was cancelled; empty if it was not.
     std::string_view reason() const;
     const MapChange &change() const;
@@ -114,11 +130,12 @@
         bool prepareSent = false;
         bool prepareUnanswered = false;
         bool readReportNext = false; ///< The last reply left the rank's state open: read its report before the next order.
-        int64_t sequence = 0; ///< Sequence number of the accepted orders; exact once the rank is prepared.
+        int64_t sequence = 0; ///< Sequence number of the accepted orders; exact once the rank is prepared or sealed.
+        std::optional<int64_t> heldPass; ///< Pass that the rank holds or may come to hold, and that has to be released.
         ArmState arm = ArmState::None;
         std::optional<int64_t> armedVersion; ///< From its last report; may belong to an earlier change.
         bool lateArmPossible = false; ///< An arm or hold may still be executed, so a further prepare has to invalidate it.
-        bool sealed = false; ///< Late arms have been invalidated.
+        int64_t sealedVersion = 0; ///< Version of the prepare that invalidated late orders, 0 if there was none.
         bool callInFlight = false;
         Instant nextCallAt{0};
         Instant lastOrderAt{0}; ///< Reports requested earlier do not reflect the last order.
@@ -133,10 +150,17 @@
     void tickSealing(std::vector<SwitchCommand> &calls, Instant now);
 
     void onPrepareReply(Rank &rank, OrderOutcome outcome);
-    void onSealReply(Rank &rank, OrderOutcome outcome);
-    void onHoldReply(OrderOutcome outcome, Instant now);
+    void onSealReply(Rank &rank, const RankOrder &seal, OrderOutcome outcome);
+    void onHoldReply(Rank &rank, OrderOutcome outcome, Instant now);
+    void onClaimReply(Rank &rank, OrderOutcome outcome, Instant now);
     void onArmReply(Rank &rank, OrderOutcome outcome);
-    void onReleaseReply(OrderOutcome outcome);
+    void onReleaseReply(Rank &rank, OrderOutcome outcome, Instant now);
+    void onClaimReport(int index, const RankReport &report, Instant requestedAt);
+    void onReleaseReport(Rank &rank, const RankReport &report, bool current);
+    /// Ends the release if all holds are released.
+    void finishRelease();
+    /// Selects the rank at which a clean-up holds the pass next.
+    void selectClaimRank(int first);
     void onDisarmReply(Rank &rank, OrderOutcome outcome);
     void giveUp(std::string_view reason);
     bool reserveCall(Rank &rank, Instant now);
@@ -153,9 +177,8 @@
     Instant phaseSince_{0};
     int64_t lastPass_ = 0;
     milliseconds passTime_{60};
-    int holdingRank_ = 0;
+    int holdingRank_ = 0; ///< 0 for a change; for a clean-up any other rank.
     int64_t heldPass_ = 0; ///< 0 if no hold was ordered.
-    bool holdConfirmed_ = false;
     bool holdUnanswered_ = false; ///< The hold may have been executed, or may be executed late.
     Instant holdSentAt_{0};
     int64_t sealVersion_ = 0;
--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -85,15 +85,29 @@
         // Arms of the earlier controller may still be executed.
         rank.lateArmPossible = true;
         rank.armedVersion = reports[i].armedVersion;
-        if (reports[i].heldPass) {
-            cleanUpSwitch.holdingRank_ = static_cast<int>(i);
-            cleanUpSwitch.heldPass_ = *reports[i].heldPass;
-            cleanUpSwitch.holdConfirmed_ = true;
+        rank.heldPass = reports[i].heldPass;
+        // The group stops at the lowest held pass.
+        if (rank.heldPass && (cleanUpSwitch.heldPass_ == 0 || *rank.heldPass < cleanUpSwitch.heldPass_)) {
+            cleanUpSwitch.heldPass_ = *rank.heldPass;
         }
     }
+    cleanUpSwitch.selectClaimRank(1);
     return cleanUpSwitch;
 }
 
+void GroupSwitch::selectClaimRank(int first)
+{
+    const int count = static_cast<int>(ranks_.size());
+    holdingRank_ = 0;
+    for (int i = 0; i < count && holdingRank_ == 0; ++i) {
+        const int candidate = (first + i) % count;
+        const std::optional<int64_t> &held = ranks_[static_cast<size_t>(candidate)].heldPass;
+        if (!held || *held == heldPass_) {
+            holdingRank_ = candidate;
+        }
+    }
+}
+
 SwitchPhase GroupSwitch::phase() const
 {
     return phase_;
@@ -109,6 +123,24 @@
     return superseded_;
 }
 
+bool GroupSwitch::releasing() const
+{
+    return phase_ == SwitchPhase::Releasing || phase_ == SwitchPhase::ReleasingOld;
+}
+
+SwitchState GroupSwitch::state() const
+{
+    SwitchState state;
+    state.heldPass = heldPass_;
+    for (const Rank &rank : ranks_) {
+        state.holdingRanks += rank.heldPass ? 1 : 0;
+        state.armed += rank.arm == ArmState::Armed ? 1 : 0;
+        state.armUnknown += rank.arm == ArmState::Unknown ? 1 : 0;
+        state.unanswered += rank.callInFlight ? 1 : 0;
+    }
+    return state;
+}
+
 std::string_view GroupSwitch::reason() const
 {
     return reason_;
@@ -174,17 +206,20 @@
     rankOrder.fencing = change_.fencing;
     rankOrder.version = change_.version;
     rankOrder.pass = heldPass_;
+    const Rank &target = ranks_[static_cast<size_t>(rank)];
     if (kind == OrderKind::Disarm) {
-        rankOrder.version = ranks_[static_cast<size_t>(rank)].armedVersion.value_or(change_.version);
+        rankOrder.version = target.armedVersion.value_or(change_.version);
+    }
+    if (kind == OrderKind::Go) {
+        rankOrder.pass = target.heldPass.value_or(heldPass_);
     }
     if (kind == OrderKind::Prepare) {
         rankOrder.map = &change_.map;
         rankOrder.version = sealVersion_;
     }
-    // The sequence number makes the rank reject late holds and arms after another prepare. Claiming repeats a hold that already exists, so it
-    // carries no sequence number.
-    if (kind == OrderKind::Arm || (kind == OrderKind::Hold && phase_ == SwitchPhase::Holding)) {
-        rankOrder.expectedSequence = ranks_[static_cast<size_t>(rank)].sequence;
+    // Makes the rank reject the order after another prepare. The first prepare of a change has to be accepted whatever came before it.
+    if (kind != OrderKind::Prepare || phase_ == SwitchPhase::Sealing) {
+        rankOrder.expectedSequence = target.sequence;
     }
     return {rank, rankOrder};
 }
@@ -212,7 +247,9 @@
         tickDisarming(calls, now);
         return;
     }
-    if (reserveCall(ranks_[static_cast<size_t>(holdingRank_)], now)) {
+    Rank &rank = ranks_[static_cast<size_t>(holdingRank_)];
+    if (reserveCall(rank, now)) {
+        rank.heldPass = heldPass_;
         calls.push_back(orderOrReport(holdingRank_, OrderKind::Hold, now));
     }
 }
@@ -265,6 +302,7 @@
     }
     if (heldPass_ == 0) {
         heldPass_ = passToHold();
+        rank.heldPass = heldPass_;
         holdSentAt_ = now;
     }
     calls.push_back(orderOrReport(holdingRank_, OrderKind::Hold, now));
@@ -300,8 +338,10 @@
 
 void GroupSwitch::tickRelease(std::vector<SwitchCommand> &calls, Instant now)
 {
-    if (reserveCall(ranks_[static_cast<size_t>(holdingRank_)], now)) {
-        calls.push_back(orderOrReport(holdingRank_, OrderKind::Go, now));
+    for (size_t i = 0; i < ranks_.size(); ++i) {
+        if (ranks_[i].heldPass && reserveCall(ranks_[i], now)) {
+            calls.push_back(orderOrReport(static_cast<int>(i), OrderKind::Go, now));
+        }
     }
 }
 
@@ -329,7 +369,7 @@
     bool all = true;
     for (size_t i = 0; i < ranks_.size(); ++i) {
         Rank &rank = ranks_[i];
-        const bool pending = rank.lateArmPossible && !rank.sealed;
+        const bool pending = rank.lateArmPossible && rank.sealedVersion == 0;
         all = all && !pending;
         if (pending && reserveCall(rank, now)) {
             calls.push_back(orderOrReport(static_cast<int>(i), OrderKind::Prepare, now));
@@ -360,16 +400,16 @@
     switch (command.order->kind) {
     case OrderKind::Prepare:
         rank.nextCallAt = now + options_.retryDelay;
-        phase_ == SwitchPhase::Sealing ? onSealReply(rank, outcome) : onPrepareReply(rank, outcome);
+        command.order->version == change_.version ? onPrepareReply(rank, outcome) : onSealReply(rank, *command.order, outcome);
         break;
     case OrderKind::Hold:
-        onHoldReply(outcome, now);
+        phase_ == SwitchPhase::Claiming ? onClaimReply(rank, outcome, now) : onHoldReply(rank, outcome, now);
         break;
     case OrderKind::Arm:
         onArmReply(rank, outcome);
         break;
     case OrderKind::Go:
-        onReleaseReply(outcome);
+        onReleaseReply(rank, outcome, now);
         break;
     case OrderKind::Disarm:
         onDisarmReply(rank, outcome);
@@ -377,11 +417,15 @@
     }
 }
 
-void GroupSwitch::onSealReply(Rank &rank, OrderOutcome outcome)
+void GroupSwitch::onSealReply(Rank &rank, const RankOrder &seal, OrderOutcome outcome)
 {
-    rank.sealed = outcome == OrderOutcome::Begun || outcome == OrderOutcome::Done;
+    if (outcome == OrderOutcome::Begun || outcome == OrderOutcome::Done) {
+        rank.sealedVersion = seal.version;
+        rank.sequence += outcome == OrderOutcome::Begun ? 1 : 0;
+        return;
+    }
     if (outcome == OrderOutcome::Conflict) {
-        // Either an unanswered prepare of this version was accepted, or a late arm was executed in the meantime.
+        // An unanswered prepare of this version was accepted, a late arm was executed in the meantime, or the sequence number is out of date.
         rank.arm = ArmState::Unknown;
         rank.readReportNext = true;
         phase_ = SwitchPhase::Disarming;
@@ -400,24 +444,47 @@
     }
 }
 
-void GroupSwitch::onHoldReply(OrderOutcome outcome, Instant now)
+void GroupSwitch::onClaimReply(Rank &rank, OrderOutcome outcome, Instant now)
 {
-    Rank &holdingRank = ranks_[static_cast<size_t>(holdingRank_)];
-    if (phase_ == SwitchPhase::Claiming) {
-        holdingRank.readReportNext = outcome == OrderOutcome::Unknown;
-        if (outcome == OrderOutcome::Conflict) {
-            reason_ = "the held pass has already begun";
-            phase_ = SwitchPhase::GivenUp;
-        } else if (outcome != OrderOutcome::Unknown) {
-            phase_ = SwitchPhase::Disarming;
-        }
+    if (outcome == OrderOutcome::Begun || outcome == OrderOutcome::Done) {
+        phase_ = SwitchPhase::Disarming;
         return;
     }
+    rank.readReportNext = true;
+    if (outcome == OrderOutcome::Conflict) {
+        rank.nextCallAt = now;
+        return;
+    }
+    // The group must not wait for a rank that does not answer; any other one will do.
+    selectClaimRank(holdingRank_ + 1);
+}
+
+void GroupSwitch::onClaimReport(int index, const RankReport &report, Instant requestedAt)
+{
+    Rank &rank = ranks_[static_cast<size_t>(index)];
+    if (report.lastPass >= heldPass_) {
+        reason_ = "the held pass has already begun";
+        phase_ = SwitchPhase::GivenUp;
+        return;
+    }
+    rank.sequence = report.orderSequence;
+    if (!report.heldPass || requestedAt <= rank.lastOrderAt) {
+        return;
+    }
+    rank.heldPass = report.heldPass;
+    if (report.heldPass == heldPass_) {
+        phase_ = SwitchPhase::Disarming;
+    } else {
+        selectClaimRank(index + 1);
+    }
+}
+
+void GroupSwitch::onHoldReply(Rank &holdingRank, OrderOutcome outcome, Instant now)
+{
     if (phase_ != SwitchPhase::Holding) {
         return;
     }
     if (outcome == OrderOutcome::Begun || outcome == OrderOutcome::Done) {
-        holdConfirmed_ = true;
         phase_ = SwitchPhase::Arming;
         phaseSince_ = now;
         return;
@@ -453,14 +520,46 @@
     }
 }
 
-void GroupSwitch::onReleaseReply(OrderOutcome outcome)
+void GroupSwitch::onReleaseReply(Rank &rank, OrderOutcome outcome, Instant now)
 {
-    // A rank replies "done" if the pass is no longer held, and "conflict" if the pass has begun. Both mean that the hold is released.
-    if (outcome == OrderOutcome::Unknown) {
-        ranks_[static_cast<size_t>(holdingRank_)].readReportNext = true;
+    if (outcome == OrderOutcome::Begun || outcome == OrderOutcome::Done) {
+        rank.heldPass.reset();
+        finishRelease();
+        return;
+    }
+    // A conflict means that the pass has begun, that the group has a new epoch, or that the sequence number is out of date.
+    rank.readReportNext = true;
+    if (outcome == OrderOutcome::Conflict) {
+        rank.nextCallAt = now;
+    }
+}
+
+void GroupSwitch::onReleaseReport(Rank &rank, const RankReport &report, bool current)
+{
+    if (!rank.heldPass) {
+        return;
+    }
+    if (report.lastPass >= *rank.heldPass || (current && report.heldPass != rank.heldPass)) {
+        rank.heldPass.reset();
+        finishRelease();
+        return;
+    }
+    const bool sealed = phase_ == SwitchPhase::ReleasingOld;
+    const bool otherPrepare = sealed ? report.preparedVersion.value_or(0) > rank.sealedVersion : report.orderSequence > rank.sequence;
+    if (otherPrepare) {
+        abandon("a rank accepted a prepare of another controller");
         return;
     }
-    phase_ = phase_ == SwitchPhase::Releasing ? SwitchPhase::Switched : SwitchPhase::GivenUp;
+    if (sealed && report.preparedVersion == rank.sealedVersion) {
+        rank.sequence = report.orderSequence;
+    }
+}
+
+void GroupSwitch::finishRelease()
+{
+    if (std::ranges::none_of(ranks_, [](const Rank &rank) { return rank.heldPass.has_value(); })) {
+        phase_ = phase_ == SwitchPhase::Releasing ? SwitchPhase::Switched : SwitchPhase::GivenUp;
+    }
 }
 
 void GroupSwitch::onDisarmReply(Rank &rank, OrderOutcome outcome)
@@ -499,7 +598,6 @@
         break;
     case SwitchPhase::Holding:
         if (index == holdingRank_ && report->heldPass == heldPass_ && requestedAt > rank.lastOrderAt) {
-            holdConfirmed_ = true;
             phase_ = SwitchPhase::Arming;
             phaseSince_ = now;
         }
@@ -511,13 +609,18 @@
         break;
     case SwitchPhase::Disarming:
         rank.armedVersion = report->armedVersion;
+        rank.sequence = report->orderSequence;
         if (current && !report->armedVersion) {
             rank.arm = ArmState::Disarmed;
         }
         break;
     case SwitchPhase::Claiming:
+        onClaimReport(index, *report, requestedAt);
+        break;
     case SwitchPhase::Releasing:
     case SwitchPhase::ReleasingOld:
+        onReleaseReport(rank, *report, current);
+        break;
     case SwitchPhase::Sealing:
     case SwitchPhase::Switched:
     case SwitchPhase::GivenUp:
@@ -538,10 +641,8 @@
     for (Rank &rank : ranks_) {
         rank.nextCallAt = Instant{0};
     }
-    if (holdUnanswered_) {
-        // The unanswered hold may still be executed and has to be invalidated like a late arm.
-        ranks_[static_cast<size_t>(holdingRank_)].lateArmPossible = true;
-    }
+    // A late hold has to be invalidated like a late arm, and the release names the sequence number of that prepare.
+    ranks_[static_cast<size_t>(holdingRank_)].lateArmPossible = true;
 }
 
 } // namespace daisymount::expertmap
