A change whose release is under way is completed when a rank is out of sight

What callers got: the group stood while the holding rank's VM was frozen, and after that for as long again, since the controller had dropped the change and took it back with two orders a rank.

Cause: any rank that disappeared from the registrations ended a change, also one whose go may have been sent. The group stands at its hold until that go arrives, so that nothing is gained by dropping it; and a go under way is what the clean-up has to fear. Besides, the orders of a change used the group's current list of ranks: while a report was missing the list was empty, the change stood still, and a call begun at that moment was never answered (its rank was taken to have a call under way for good).

Now a change keeps the ranks with which it began. While its release is under way it ends only by its answer or by a new epoch of the group; in any other phase a missing rank ends it as before. Reports that were read in the middle of a change are read again after it. Logs: `given_up` and `switched` tell the held pass, how many ranks hold it, are armed, may be armed and owe an answer; `clean_up` tells the pass, the holds and arms that it saw, and the age of the reports.

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -104,11 +104,11 @@
     bool finished() const;
     /// True if a rank has seen a higher fencing number: another controller has taken over, and this one must send no more orders.
     bool superseded() const;
-    /// True once a go may have been sent. The hold can then be released at any time, so that the change can only be completed.
-    bool releasing() const;
-    /// Ends the change without further orders: the group has a new epoch, or the clean-up is left to a later change. Not while releasing(),
-    /// unless the group has a new epoch.
-    void abandon(std::string_view reason);
+    /// A rank is no longer registered. The change ends without further orders, which leaves the clean-up to a later change, unless a go may have
+    /// been sent: the hold can then be released at any time, so that the change can only be completed.
+    void onRankMissing();
+    /// The group has a new epoch, which discards all orders of the change.
+    void onNewEpoch();
     SwitchState state() const;
     /// Why the change was cancelled; empty if it was not.
     std::string_view reason() const;
@@ -162,7 +162,10 @@
     /// Selects the rank at which a clean-up holds the pass next.
     void selectClaimRank(int first);
     void onDisarmReply(Rank &rank, OrderOutcome outcome);
+    /// Takes back what was ordered.
     void giveUp(std::string_view reason);
+    /// Ends the change without further orders.
+    void abandon(std::string_view reason);
     bool reserveCall(Rank &rank, Instant now);
     /// Returns the given order, or a report request if the last reply left the rank's state open.
     SwitchCommand orderOrReport(int rank, OrderKind kind, Instant now);
--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -123,11 +123,6 @@
     return superseded_;
 }
 
-bool GroupSwitch::releasing() const
-{
-    return phase_ == SwitchPhase::Releasing || phase_ == SwitchPhase::ReleasingOld;
-}
-
 SwitchState GroupSwitch::state() const
 {
     SwitchState state;
@@ -580,9 +575,7 @@
         return;
     }
     if (report->epoch != change_.epoch) {
-        // A new epoch discards everything that was prepared, armed or held.
-        reason_ = "the group started a new epoch";
-        phase_ = SwitchPhase::GivenUp;
+        onNewEpoch();
         return;
     }
     lastPass_ = std::max(lastPass_, report->lastPass);
@@ -628,6 +621,20 @@
     }
 }
 
+void GroupSwitch::onRankMissing()
+{
+    if (phase_ != SwitchPhase::Releasing && phase_ != SwitchPhase::ReleasingOld && !finished()) {
+        abandon("a rank left the group");
+    }
+}
+
+void GroupSwitch::onNewEpoch()
+{
+    if (!finished()) {
+        abandon("the group started a new epoch");
+    }
+}
+
 void GroupSwitch::abandon(std::string_view reason)
 {
     reason_ = reason;
--- a/src/expertmap/tests/laterelease_tests.cpp
+++ b/src/expertmap/tests/laterelease_tests.cpp
@@ -89,6 +89,39 @@
     }
 }
 
+TEST(LateRelease, changeIsCompletedWhenTheHoldingRankIsOutOfSight)
+{
+    SimulatedGroup group(RANKS, {}, 1);
+    Driver driver = change(group, 1, FENCING);
+    const std::optional<SwitchCommand> release = armAllAndLoseRelease(group, driver);
+    CHECK(release.has_value());
+    group.unresponsiveRank = release->rank;
+    driver.send(*release, now);
+    for (int i = 0; i < 100; ++i, now += STEP) {
+        group.advance(now);
+        driver.change().onRankMissing();
+        driver.step(now);
+    }
+    CHECK_FALSE(driver.change().finished());
+    CHECK(group.isHeld());
+    group.unresponsiveRank = -1;
+    now = runUntilFinished(group, driver, now, now + std::chrono::seconds{1});
+    CHECK(driver.change().phase() == SwitchPhase::Switched);
+    group.advance(now);
+    LONGS_EQUAL(1, group.mapVersion());
+    CHECK_FALSE(group.mixedMaps());
+}
+
+TEST(LateRelease, changeEndsWhenTheGroupFormsAnewDuringTheRelease)
+{
+    SimulatedGroup group(RANKS, {}, 1);
+    Driver driver = change(group, 1, FENCING);
+    CHECK(armAllAndLoseRelease(group, driver).has_value());
+    group.reform();
+    driver.change().onNewEpoch();
+    CHECK(driver.change().phase() == SwitchPhase::GivenUp);
+}
+
 TEST(LateRelease, doesNotEndTheHoldOfALaterChangeAtTheSamePass)
 {
     SimulatedGroup group(RANKS, {}, 1);
--- a/src/gateway/internal/mapchange.cpp
+++ b/src/gateway/internal/mapchange.cpp
@@ -35,10 +35,27 @@
     // Every rank can prepare the current map again, because it adds no expert to any rank.
     expertmap::MapChange change{group.epoch, termFencing_, group.highestVersion + 1, group.map};
     const expertmap::SwitchOptions options = agentsReachable(group, now) ? expertmap::SwitchOptions::lowLatency() : expertmap::SwitchOptions{};
-    group.changeMapText = platform::encodeMapText(change.map);
-    group.change = std::make_shared<expertmap::GroupSwitch>(expertmap::GroupSwitch::cleanUp(options, std::move(change), group.reports, now));
+    beginChange(group, expertmap::GroupSwitch::cleanUp(options, std::move(change), group.reports, now), now);
     group.leftoverHold = false;
-    context_.log.report({"maps", "clean_up", ResultCode::Ok, "", {{"group", group.name}, {"epoch", std::to_string(group.epoch)}}});
+    const expertmap::SwitchState state = group.change->state();
+    context_.log.report({"maps",
+                         "clean_up",
+                         ResultCode::Ok,
+                         "",
+                         {{"group", group.name},
+                          {"epoch", std::to_string(group.epoch)},
+                          {"pass", std::to_string(state.heldPass)},
+                          {"holding", std::to_string(state.holdingRanks)},
+                          {"armed", std::to_string(state.armed)},
+                          {"reports_age_ms", std::to_string(toMilliseconds(now - group.lastRefresh).count())}}});
+}
+
+void MapController::beginChange(Group &group, expertmap::GroupSwitch change, Instant now)
+{
+    group.changeMapText = platform::encodeMapText(change.change().map);
+    group.changeRanks = group.ranks;
+    group.changeBegunAt = now;
+    group.change = std::make_shared<expertmap::GroupSwitch>(std::move(change));
 }
 
 void MapController::driveChange(const std::shared_ptr<Group> &group, Instant now)
@@ -56,10 +73,10 @@
 asio::awaitable<void> MapController::sendCommand(std::shared_ptr<Group> group, std::shared_ptr<expertmap::GroupSwitch> change, expertmap::SwitchCommand command)
 {
     const Instant requestedAt = framework::monotonicNow();
-    if (group->ranks.size() <= static_cast<size_t>(command.rank)) {
+    if (group->change != change) {
         co_return;
     }
-    const std::string upstream = group->ranks[static_cast<size_t>(command.rank)];
+    const std::string upstream = group->changeRanks[static_cast<size_t>(command.rank)].upstream;
     if (!command.order) {
         const std::optional<expertmap::RankReport> report = co_await readReport(upstream);
         change->onReport(command.rank, report, requestedAt, framework::monotonicNow());
@@ -98,11 +115,20 @@
 {
     const expertmap::GroupSwitch &change = *group.change;
     const bool switched = change.phase() == expertmap::SwitchPhase::Switched;
+    const expertmap::SwitchState state = change.state();
     context_.log.report({"maps",
                          switched ? "switched" : "given_up",
                          switched ? ResultCode::Ok : ResultCode::MapRefused,
                          "",
-                         {{"group", group.name}, {"version", std::to_string(change.change().version)}, {"reason", std::string(change.reason())}}});
+                         {{"group", group.name},
+                          {"version", std::to_string(change.change().version)},
+                          {"reason", std::string(change.reason())},
+                          {"pass", std::to_string(state.heldPass)},
+                          {"holding", std::to_string(state.holdingRanks)},
+                          {"armed", std::to_string(state.armed)},
+                          {"arm_unknown", std::to_string(state.armUnknown)},
+                          {"unanswered", std::to_string(state.unanswered)},
+                          {"ms", std::to_string(toMilliseconds(now - group.changeBegunAt).count())}}});
     group.highestVersion = std::max(group.highestVersion, change.highestVersion());
     if (switched) {
         group.map = change.change().map;
@@ -113,6 +139,11 @@
         group.nextPlan = now + PLAN_INTERVAL;
         group.reportsStale = true;
     }
+    if (group.lastRefresh > group.changeBegunAt) {
+        // These reports show the group in the middle of the change.
+        group.leftoverHold = false;
+        group.reportsStale = true;
+    }
     if (change.superseded()) {
         lease_.drop("a rank has seen a higher fencing number");
     }
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds REFRESH_INTERVAL{250};
 /// Interval while a rank of the group is missing.
 constexpr milliseconds DOWN_REFRESH_INTERVAL{200};
+/// Interval while a rank of a group is missing whose hold is being released. Reading the reports delays the orders of the release.
+constexpr milliseconds RELEASING_REFRESH_INTERVAL{1'000};
 /// Interval while ranks are armed, because they switch within a few passes.
 constexpr milliseconds ARMED_REFRESH_INTERVAL{60};
 constexpr int64_t MIN_SAMPLES = 8;
@@ -174,10 +176,8 @@
     group.lastRefresh = now;
     group.passStallDetector.onReportsRead(now);
     group.ranks.clear();
-    group.bornMs.clear();
     const auto size = static_cast<size_t>(members.front().second.groupSize);
-    std::vector<std::string> ranks(size);
-    std::vector<int64_t> bornMs(size);
+    std::vector<RankIdentity> ranks(size);
     std::vector<expertmap::RankReport> reports(size);
     int64_t epoch = 0;
     bool complete = members.size() == size;
@@ -188,10 +188,9 @@
             continue;
         }
         const auto rank = static_cast<size_t>(report.rank);
-        complete = complete && ranks[rank].empty() && report.open && (epoch == 0 || epoch == report.epoch);
+        complete = complete && ranks[rank].upstream.empty() && report.open && (epoch == 0 || epoch == report.epoch);
         epoch = report.epoch;
-        ranks[rank] = upstream;
-        bornMs[rank] = known->second.upstream.bornMs;
+        ranks[rank] = {upstream, known->second.upstream.bornMs};
         reports[rank] = report;
         for (const int64_t version : {report.mapVersion, report.preparedVersion.value_or(0), report.armedVersion.value_or(0)}) {
             group.highestVersion = std::max(group.highestVersion, version);
@@ -216,7 +215,6 @@
         group.nextSample = Instant{0};
     }
     group.ranks = std::move(ranks);
-    group.bornMs = std::move(bornMs);
     group.reports = std::move(reports);
     group.leftoverHold = anyHeld && sameMap;
     if (!sameMap || (anyArmed && !anyHeld)) {
@@ -240,25 +238,22 @@
                          {{"group", group.name}, {"epoch", std::to_string(epoch)}, {"ranks", std::to_string(size)}, {"map", std::to_string(version)}}});
 }
 
-std::vector<bool> MapController::inOwnZone(std::span<const std::string> upstreams) const
+std::vector<bool> MapController::inOwnZone(std::span<const RankIdentity> ranks) const
 {
     std::vector<bool> sameZone;
-    for (const std::string &upstream : upstreams) {
-        const auto known = context_.view.upstreams().find(upstream);
+    for (const RankIdentity &rank : ranks) {
+        const auto known = context_.view.upstreams().find(rank.upstream);
         sameZone.push_back(known != context_.view.upstreams().end() && known->second.upstream.zone == context_.settings.zone);
     }
     return sameZone;
 }
 
-bool MapController::ranksUnchanged(const Group &group) const
+bool MapController::areRanksUnchanged(std::span<const RankIdentity> ranks) const
 {
-    for (size_t rank = 0; rank < group.ranks.size(); ++rank) {
-        const auto known = context_.view.upstreams().find(group.ranks[rank]);
-        if (known == context_.view.upstreams().end() || known->second.upstream.bornMs != group.bornMs[rank]) {
-            return false;
-        }
-    }
-    return true;
+    return std::ranges::all_of(ranks, [this](const RankIdentity &rank) {
+        const auto known = context_.view.upstreams().find(rank.upstream);
+        return known != context_.view.upstreams().end() && known->second.upstream.bornMs == rank.bornMs;
+    });
 }
 
 asio::awaitable<transport::HttpReply> MapController::callRank(std::string upstream, platform::HttpCall call, milliseconds timeout)
@@ -302,32 +297,34 @@
 
 bool MapController::agentsReachable(const Group &group, Instant now) const
 {
-    return std::ranges::all_of(group.ranks, [&](const std::string &upstream) {
-        const auto down = agentBackoffUntil_.find(upstream);
+    return std::ranges::all_of(group.ranks, [&](const RankIdentity &rank) {
+        const auto down = agentBackoffUntil_.find(rank.upstream);
         return down == agentBackoffUntil_.end() || now >= down->second;
     });
 }
 
 void MapController::step(const std::shared_ptr<Group> &group, Instant now)
 {
+    if (group->change) {
+        if (group->epoch != group->change->change().epoch) {
+            group->change->onNewEpoch();
+        } else if (!areRanksUnchanged(group->changeRanks)) {
+            group->change->onRankMissing();
+            group->reportsStale = group->reportsStale || now - group->lastRefresh > RELEASING_REFRESH_INTERVAL;
+        }
+        driveChange(group, now);
+        return;
+    }
     if (group->ranks.empty()) {
         if (now - group->lastRefresh > REFRESH_INTERVAL) {
             group->reportsStale = true;
         }
         return;
     }
-    if (!ranksUnchanged(*group)) {
-        if (group->change) {
-            group->change->abandon("a rank left the group");
-            finishChange(*group, now);
-        }
+    if (!areRanksUnchanged(group->ranks)) {
         group->reportsStale = now - group->lastRefresh > DOWN_REFRESH_INTERVAL;
         return;
     }
-    if (group->change) {
-        driveChange(group, now);
-        return;
-    }
     if (group->leftoverHold && !group->mapUnknown) {
         startCleanUp(*group, now);
         return;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -136,7 +136,7 @@
     if (group->ranks.size() <= static_cast<size_t>(rank)) {
         co_return;
     }
-    const transport::HttpReply reply = co_await callRank(group->ranks[static_cast<size_t>(rank)], platform::countsCall(), REPORT_TIMEOUT);
+    const transport::HttpReply reply = co_await callRank(group->ranks[static_cast<size_t>(rank)].upstream, platform::countsCall(), REPORT_TIMEOUT);
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(counts, platform::decodeCounts(reply.status, reply.body, group->layout.sets));
         if (counts.epoch != group->epoch) {
@@ -175,7 +175,7 @@
     expertmap::GroupMap map(static_cast<size_t>(group->layout.sets), std::vector<expertmap::RankExperts>(ranks));
     bool complete = true;
     for (size_t rank = 0; rank < ranks && complete && group->ranks.size() == ranks; ++rank) {
-        const transport::HttpReply reply = co_await callRank(group->ranks[rank], platform::mapListsCall(), REPORT_TIMEOUT);
+        const transport::HttpReply reply = co_await callRank(group->ranks[rank].upstream, platform::mapListsCall(), REPORT_TIMEOUT);
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(lists, platform::decodeMapLists(reply.status, reply.body, group->layout.sets));
             complete = lists.epoch == epoch && lists.version == group->mapVersion;
@@ -254,8 +254,7 @@
     if (agentsReachable(*group, begin)) {
         switchOptions = begin >= lossTolerantUntil_ ? expertmap::SwitchOptions::lowLatency() : expertmap::SwitchOptions::lossTolerant();
     }
-    group->changeMapText = platform::encodeMapText(change.map);
-    group->change = std::make_shared<expertmap::GroupSwitch>(switchOptions, std::move(change), group->reports, toMilliseconds(group->passTime), begin);
+    beginChange(*group, expertmap::GroupSwitch(switchOptions, std::move(change), group->reports, toMilliseconds(group->passTime), begin), begin);
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -28,14 +28,19 @@
     void start();
 
 private:
+    struct RankIdentity
+    {
+        std::string upstream; ///< Id.
+        int64_t bornMs = 0; ///< Registered start time of the upstream, which changes when it restarts.
+    };
+
     /// One rank group of a service.
     struct Group
     {
         std::string name;
         std::string service;
         fleet::ExpertLayout layout;
-        std::vector<std::string> ranks; ///< Upstream ids by rank.
-        std::vector<int64_t> bornMs; ///< Registered start times of the upstreams, by rank; they change when an upstream restarts.
+        std::vector<RankIdentity> ranks; ///< By rank; empty while a rank is missing.
         std::vector<expertmap::RankReport> reports; ///< By rank, from the last time that all ranks were read.
         int64_t epoch = 0;
         expertmap::LoadSamples samples{{}};
@@ -48,6 +53,8 @@
         int64_t highestVersion = 0; ///< Highest map version that any rank has received.
         std::shared_ptr<expertmap::GroupSwitch> change; ///< Change in progress, or null.
         std::string changeMapText; ///< Encoded map of the change, as sent in orders.
+        std::vector<RankIdentity> changeRanks; ///< Ranks at the beginning of the change.
+        Instant changeBegunAt{0};
         int64_t samplesAtPlan = 0;
         double plannedSkew = 1.0; ///< Skew of the current map predicted by the last plan.
         Instant nextSample{0};
@@ -71,10 +78,11 @@
     void applyGroupReports(Group &group, const std::vector<std::pair<std::string, expertmap::RankReport>> &members);
     void step(const std::shared_ptr<Group> &group, Instant now);
     void driveChange(const std::shared_ptr<Group> &group, Instant now);
+    void beginChange(Group &group, expertmap::GroupSwitch change, Instant now);
     void finishChange(Group &group, Instant now);
     void readSamples(const std::shared_ptr<Group> &group, Instant now);
-    /// Tells of each upstream whether it is in the zone of this gateway.
-    std::vector<bool> inOwnZone(std::span<const std::string> upstreams) const;
+    /// Tells of each rank whether it is in the zone of this gateway.
+    std::vector<bool> inOwnZone(std::span<const RankIdentity> ranks) const;
     std::vector<expertmap::LoadSample> samplesToPlanOn(const Group &group) const;
     /// True if the skew of the newest samples is well above the planned one.
     bool demandShifted(const Group &group) const;
@@ -88,7 +96,7 @@
     void startCleanUp(Group &group, Instant now);
     /// True while a change of any group is in progress.
     bool changeInProgress() const;
-    bool ranksUnchanged(const Group &group) const;
+    bool areRanksUnchanged(std::span<const RankIdentity> ranks) const;
     bool agentsReachable(const Group &group, Instant now) const;
     /// Returns the shortest pause objective of all routes to @p service.
     milliseconds maxPause(const std::string &service) const;
