A map change with a hold in place goes on until its ranks are armed

Cause: arming had a time limit, after which every rank was disarmed and sealed before the release. A rank whose arm is unanswered has to answer twice for that, so the way back waits for the same frozen VM as the way forward and then takes two more rounds of orders. The same holds when the registration of a frozen rank ends: the change was dropped and cleaned up once the rank was back.

Now the arm is repeated until it is answered or refused, and from the hold on a missing rank does not end a change: the group cannot go on without that rank, and if it restarts there is a new epoch. While ranks only copy weights, a missing rank ends the change as before.

Test: groupIsNotHeldForLongerThanAnUnresponsiveRankWhileArming, 100 seeds, 12 ranks, two orders in five unanswered, one VM stopped for 3 s.

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -51,8 +51,7 @@
 {
     milliseconds maxReportAge{250}; ///< Maximum age of the state in a report when the report is received.
     milliseconds holdLeadTime{900}; ///< Approximate time from the hold order to the held pass.
-    milliseconds armTimeout{650}; ///< Counted from the accepted hold; the change is cancelled afterwards.
-    milliseconds armTimeoutExtension{400}; ///< Added to armTimeout when only a few ranks are not armed.
+    milliseconds holdTimeout{650}; ///< For the answer to the hold order; the change is cancelled afterwards.
     milliseconds prepareTimeout{4'000};
     milliseconds retryDelay{120}; ///< Delay before an unanswered order is sent again.
     milliseconds minPassTime{30}; ///< Lower bound on the pass time, which limits the number of passes up to the held one.
@@ -104,8 +103,8 @@
     bool finished() const;
     /// True if a rank has seen a higher fencing number: another controller has taken over, and this one must send no more orders.
     bool superseded() const;
-    /// A rank is no longer registered. The change ends without further orders, which leaves the clean-up to a later change, unless a go may have
-    /// been sent: the hold can then be released at any time, so that the change can only be completed.
+    /// A rank is no longer registered. Ends the change if its ranks only copy weights. Later the group may be held, and going on as soon as the
+    /// rank answers again takes fewer orders than a clean-up; if it restarts, the group has a new epoch.
     void onRankMissing();
     /// The group has a new epoch, which discards all orders of the change.
     void onNewEpoch();
--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -7,18 +7,12 @@
 namespace daisymount::expertmap
 {
 
-namespace
-{
-/// The arm time-out is extended when at most one rank in three is not armed.
-constexpr size_t NEARLY_ARMED_DIVISOR = 3;
-} // namespace
-
 SwitchOptions SwitchOptions::lowLatency()
 {
     SwitchOptions options;
     options.maxReportAge = milliseconds{30};
     options.holdLeadTime = milliseconds{120};
-    options.armTimeout = milliseconds{180};
+    options.holdTimeout = milliseconds{180};
     options.retryDelay = milliseconds{40};
     options.minPassesAhead = 2;
     return options;
@@ -55,7 +49,7 @@
 {
     SwitchOptions options = lowLatency();
     options.holdLeadTime = milliseconds{480};
-    options.armTimeout = milliseconds{420};
+    options.holdTimeout = milliseconds{420};
     options.minPassesAhead = 5;
     return options;
 }
@@ -288,7 +282,7 @@
 void GroupSwitch::tickHolding(std::vector<SwitchCommand> &calls, Instant now)
 {
     Rank &rank = ranks_[static_cast<size_t>(holdingRank_)];
-    if (holdUnanswered_ && now - holdSentAt_ > options_.armTimeout) {
+    if (holdUnanswered_ && now - holdSentAt_ > options_.holdTimeout) {
         giveUp("no answer to the hold order within the time limit");
         return;
     }
@@ -312,13 +306,7 @@
         tickRelease(calls, now);
         return;
     }
-    // Cancelling a change takes two orders per rank while the group is held. If only a few ranks are not armed, arming them is faster.
-    const auto missing = static_cast<size_t>(std::ranges::count_if(ranks_, [](const Rank &rank) { return rank.arm != ArmState::Armed; }));
-    const bool nearlyArmed = missing * NEARLY_ARMED_DIVISOR <= ranks_.size();
-    if (now - phaseSince_ > options_.armTimeout + (nearlyArmed ? options_.armTimeoutExtension : milliseconds{0})) {
-        giveUp("not all ranks were armed within the time limit");
-        return;
-    }
+    // There is no time limit: a rank that does not answer would have to be disarmed before the group could go on, which takes its answer as well.
     for (size_t i = 0; i < ranks_.size(); ++i) {
         Rank &rank = ranks_[i];
         if (rank.arm == ArmState::Armed || !reserveCall(rank, now)) {
@@ -623,7 +611,7 @@
 
 void GroupSwitch::onRankMissing()
 {
-    if (phase_ != SwitchPhase::Releasing && phase_ != SwitchPhase::ReleasingOld && !finished()) {
+    if (phase_ == SwitchPhase::Preparing && !finished()) {
         abandon("a rank left the group");
     }
 }
--- a/src/expertmap/tests/groupswitch_tests.cpp
+++ b/src/expertmap/tests/groupswitch_tests.cpp
@@ -236,6 +236,46 @@
     CHECK(held / 100 <= milliseconds{300});
 }
 
+TEST(GroupSwitch, groupIsNotHeldForLongerThanAnUnresponsiveRankWhileArming)
+{
+    // A VM stops for 3 s between the hold and the arm of its rank, whose registration ends meanwhile; two orders in five are unanswered.
+    constexpr int MEDIUM_GROUP_RANKS = 12;
+    constexpr milliseconds SHORT_REPLY_TIMEOUT{60};
+    constexpr milliseconds FREEZE{3'000};
+    Duration heldLonger{0};
+    int switched = 0;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        now = Instant{std::chrono::seconds{1}};
+        SimulatedGroup group(MEDIUM_GROUP_RANKS, {0.4, 0.0}, seed);
+        auto change = std::make_unique<GroupSwitch>(SwitchOptions::lossTolerant(), changeTo(1, 7, group.epoch(), MEDIUM_GROUP_RANKS), group.reports(),
+                                                    milliseconds{80}, now);
+        Driver driver(group, std::move(change), SHORT_REPLY_TIMEOUT);
+        while (!driver.change().finished() && driver.change().phase() != SwitchPhase::Arming) {
+            group.advance(now);
+            driver.step(now);
+            now += STEP;
+        }
+        group.unresponsiveRank = 5;
+        for (const Instant end = now + FREEZE; now < end; now += STEP) {
+            group.advance(now);
+            driver.step(now);
+        }
+        driver.change().onRankMissing();
+        group.unresponsiveRank = -1;
+        now = runUntilFinished(group, driver, now, now + std::chrono::seconds{40});
+        group.advance(now);
+        switched += driver.change().phase() == SwitchPhase::Switched ? 1 : 0;
+        heldLonger += group.heldTime() - FREEZE;
+        for (int i = 0; i < 1'500; ++i, now += STEP) {
+            group.advance(now);
+        }
+        CHECK_FALSE(group.mixedMaps());
+        CHECK_FALSE(group.hasArmOrHold());
+    }
+    CHECK(heldLonger / 100 <= milliseconds{300});
+    CHECK(switched >= 90);
+}
+
 TEST(GroupSwitch, givesUpWithoutDelayingAPassWhenARankIsUnresponsive)
 {
     SimulatedGroup group(RANKS, {}, 1);
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -25,8 +25,8 @@
 constexpr milliseconds REFRESH_INTERVAL{250};
 /// Interval while a rank of the group is missing.
 constexpr milliseconds DOWN_REFRESH_INTERVAL{200};
-/// Interval while a rank of a group is missing whose hold is being released. Reading the reports delays the orders of the release.
-constexpr milliseconds RELEASING_REFRESH_INTERVAL{1'000};
+/// Interval while a rank is missing in the middle of a change, to learn of a new epoch. Reading the reports delays the orders of the change.
+constexpr milliseconds CHANGE_REFRESH_INTERVAL{1'000};
 /// Interval while ranks are armed, because they switch within a few passes.
 constexpr milliseconds ARMED_REFRESH_INTERVAL{60};
 constexpr int64_t MIN_SAMPLES = 8;
@@ -310,7 +310,7 @@
             group->change->onNewEpoch();
         } else if (!areRanksUnchanged(group->changeRanks)) {
             group->change->onRankMissing();
-            group->reportsStale = group->reportsStale || now - group->lastRefresh > RELEASING_REFRESH_INTERVAL;
+            group->reportsStale = group->reportsStale || now - group->lastRefresh > CHANGE_REFRESH_INTERVAL;
         }
         driveChange(group, now);
         return;
