A group is held only when all its ranks have just answered

What callers got: a hold placed while a rank's VM was already frozen kept the group standing for the rest of the freeze, although the passes of a group go on while one of its VMs is frozen and nothing is held.

Cause: a rank that had prepared was not asked again before the hold, up to seconds later when others took longer to copy.

Now ranks whose last answer is older than 100 ms are asked for their report before the hold; the hold follows when all have answered within one round, and the round begins again when it took too long.

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -137,6 +137,7 @@
         int64_t sealedVersion = 0; ///< Version of the prepare that invalidated late orders, 0 if there was none.
         bool callInFlight = false;
         Instant nextCallAt{0};
+        Instant answeredAt{0}; ///< When the last reply or report arrived.
         Instant lastOrderAt{0}; ///< Reports requested earlier do not reflect the last order.
     };
 
@@ -166,6 +167,8 @@
     /// Ends the change without further orders.
     void abandon(std::string_view reason);
     bool reserveCall(Rank &rank, Instant now);
+    /// True if all ranks have answered recently; asks the others for their reports. A rank that does not answer would keep the group held.
+    bool haveAllAnswered(std::vector<SwitchCommand> &calls, Instant now);
     /// Returns the given order, or a report request if the last reply left the rank's state open.
     SwitchCommand orderOrReport(int rank, OrderKind kind, Instant now);
     bool reflectsLastOrder(const Rank &rank, Instant requestedAt) const;
@@ -177,6 +180,7 @@
     std::vector<Rank> ranks_;
     SwitchPhase phase_ = SwitchPhase::Preparing;
     Instant phaseSince_{0};
+    Instant checkSince_{0}; ///< When the ranks were last checked for an answer.
     int64_t lastPass_ = 0;
     milliseconds passTime_{60};
     int holdingRank_ = 0; ///< 0 for a change; for a clean-up any other rank.
--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -7,6 +7,14 @@
 namespace daisymount::expertmap
 {
 
+namespace
+{
+/// A rank whose last answer is older is asked for its report before the group is held.
+constexpr milliseconds MAX_SILENCE{100};
+/// Time allowed for asking all ranks, after which the first answers are too old.
+constexpr milliseconds CHECK_DURATION_PER_RANK{10};
+} // namespace
+
 SwitchOptions SwitchOptions::lowLatency()
 {
     SwitchOptions options;
@@ -264,7 +272,7 @@
             calls.push_back({static_cast<int>(i), std::nullopt});
         }
     }
-    if (all) {
+    if (all && haveAllAnswered(calls, now)) {
         phase_ = SwitchPhase::Holding;
         phaseSince_ = now;
         for (Rank &rank : ranks_) {
@@ -273,6 +281,24 @@
     }
 }
 
+bool GroupSwitch::haveAllAnswered(std::vector<SwitchCommand> &calls, Instant now)
+{
+    const milliseconds maxDuration = MAX_SILENCE + CHECK_DURATION_PER_RANK * ranks_.size();
+    if (now - checkSince_ > maxDuration) {
+        checkSince_ = now;
+    }
+    bool all = true;
+    for (size_t i = 0; i < ranks_.size(); ++i) {
+        Rank &rank = ranks_[i];
+        const bool answered = rank.answeredAt + MAX_SILENCE >= checkSince_;
+        all = all && answered;
+        if (!answered && reserveCall(rank, now)) {
+            calls.push_back({static_cast<int>(i), std::nullopt});
+        }
+    }
+    return all;
+}
+
 int64_t GroupSwitch::passToHold() const
 {
     const auto span = options_.holdLeadTime + options_.maxReportAge;
@@ -374,6 +400,7 @@
 {
     Rank &rank = ranks_[static_cast<size_t>(command.rank)];
     rank.callInFlight = false;
+    rank.answeredAt = outcome == OrderOutcome::Unknown ? rank.answeredAt : now;
     rank.nextCallAt = outcome == OrderOutcome::Unknown || outcome == OrderOutcome::Conflict ? now + options_.retryDelay : now;
     if (outcome == OrderOutcome::Fenced) {
         superseded_ = true;
@@ -562,6 +589,7 @@
     if (!report) {
         return;
     }
+    rank.answeredAt = now;
     if (report->epoch != change_.epoch) {
         onNewEpoch();
         return;
--- a/src/expertmap/tests/groupswitch_tests.cpp
+++ b/src/expertmap/tests/groupswitch_tests.cpp
@@ -276,6 +276,29 @@
     CHECK(switched >= 90);
 }
 
+TEST(GroupSwitch, groupIsNotHeldWhileARankThatHasPreparedIsUnresponsive)
+{
+    // One VM is slow to prepare; before it has done so, the VM of another rank stops for 3 s.
+    SimulatedGroup group(RANKS, {}, 1);
+    Driver driver(group, begin(group, 1, 7, SwitchOptions::lowLatency()));
+    const auto run = [&](milliseconds duration) {
+        for (const Instant end = now + duration; now < end; now += STEP) {
+            group.advance(now);
+            driver.step(now);
+        }
+    };
+    group.unresponsiveRank = 4;
+    run(milliseconds{500});
+    group.unresponsiveRank = 3;
+    run(milliseconds{3'000});
+    LONGS_EQUAL(0, group.heldTime().count());
+    CHECK_FALSE(group.hasArmOrHold());
+    group.unresponsiveRank = -1;
+    run(milliseconds{1'000});
+    CHECK(driver.change().phase() == SwitchPhase::Switched);
+    LONGS_EQUAL(0, group.heldTime().count());
+}
+
 TEST(GroupSwitch, givesUpWithoutDelayingAPassWhenARankIsUnresponsive)
 {
     SimulatedGroup group(RANKS, {}, 1);
