--- a/models/groupswitch.pml
+++ b/models/groupswitch.pml
@@ -10,8 +10,8 @@
  * ANY_SEQUENCE, KEEP_CLAIM, FORGET_ARMED. */
 
 #define N 2
-#define H 2          /* the held pass */
-#define LAST 3
+#define H 1          /* the held pass */
+#define LAST 2
 #define MAX_VERSION 16
 #ifdef CLAIM_HOLDING_RANK
 #define CLAIMED 0
