A draining gateway refuses what it can't finish

Cause: a draining gateway serves callers that still know its address, on open connections to its end, and nothing compared what a request will take with what is left of the grace period.

Now dispatch/completiontimes.h keeps, per route, the longest recent time from passing on to the end (15 to 30 s) and the requests under way, whose age counts too; a quarter is added, since load shifts to the remaining gateways. A draining gateway passes a request on only if that bound, or the request's deadline, lies before its exit. Others are refused at once with 503, truly not run, and Retry-After 0 when another gateway is known to serve, otherwise spread over the end of the longest wait that callers accept. A stream under way is still continued and retried until the end. Weighed: ending resumable streams early, so that callers resume elsewhere; not done, since an answer broken off before its time is lost to callers that can't resume, and those that can lose nothing by the cut at the end. The length hint of a request is not used: it is right in the median only.

GatewayProcess moved to a header of its own, with a network of its own for each fixture.

--- /dev/null
+++ b/src/dispatch/completiontimes.h
@@ -0,0 +1,44 @@
+// Tells how long the requests of a route take to their end, so that a gateway that shuts down passes on only what can end in time.
+//
+// Expected load: some requests a second on each route, of which the slowest take several times the median, and groups of engines that stand
+// for seconds, so that all streams under way grow old together.
+
+#pragma once
+
+#include "framework/clock.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace daisymount::dispatch
+{
+
+class CompletionTimes
+{
+public:
+    /// A request was passed on for the first time.
+    void onSent(std::string_view route, framework::Instant now);
+    /// Must be called once for each onSent(). @p complete is true if the caller got the whole response of the upstream.
+    void onEnded(std::string_view route, framework::Instant sentAt, bool complete, framework::Instant now);
+
+    /// Time within which a request that is passed on now very probably ends; empty if there are no recent observations.
+    std::optional<framework::Duration> upperBound(std::string_view route, framework::Instant now) const;
+    /// True if a request that is passed on now can end before @p end: by upperBound() or, without observations, by its @p deadline.
+    bool canEndBefore(framework::Instant end, std::string_view route, framework::Instant deadline, framework::Instant now) const;
+
+private:
+    struct RouteTimes
+    {
+        std::multiset<framework::Instant> sentAt; ///< Of the requests under way.
+        framework::Instant periodStart{0};
+        framework::Duration longest{0}; ///< Of the requests that ended in the current period.
+        framework::Duration longestBefore{0}; ///< The same for the period before.
+    };
+
+    std::map<std::string, RouteTimes, std::less<>> routes_; ///< By name.
+};
+
+} // namespace daisymount::dispatch
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,6 +105,8 @@
     bool canRetry(AttemptOutcome outcome) const;
     /// Returns the remaining quarantine time if the request is known to crash upstreams, else an empty value.
     std::optional<milliseconds> quarantineTimeLeft(Instant now);
+    /// If this gateway shuts down before the request would end, returns when the caller should try another gateway.
+    std::optional<milliseconds> retryDelayBeforeExit(Instant now);
     /// Updates crash attribution: a response clears the request, a broken connection makes it a suspect.
     void recordCrashEvidence(const Attempt &attempt, AttemptOutcome outcome, Instant now);
     /// Consumes one retry from the service's budget. Returns false when this gateway's share is used up.
@@ -132,6 +134,7 @@
     Instant callerDeadline_{0}; ///< When the caller stops waiting for the response.
     Instant deadline_{0}; ///< The earlier of the caller's deadline and the route's timeout.
     std::vector<std::string> triedUpstreams_;
+    Instant firstSentAt_{0}; ///< When the request was first passed on, 0 if it was not.
     std::optional<FailureResponse> failureResponse_;
     bool mayHaveRun_ = false;
     bool callerDisconnected_ = false; ///< The caller's connection ended, possibly together with the request.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "crashattribution/crashattribution.h"
+#include "dispatch/completiontimes.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/engineadmission.h"
 #include "dispatch/passpace.h"
@@ -35,6 +36,7 @@
     dispatch::RetryDelay retryDelay;
     dispatch::PassTimeTracker passTimeTracker;
     dispatch::SilenceDetector silenceDetector;
+    dispatch::CompletionTimes completionTimes;
     dispatch::RetryBudgetShare retryBudget;
     UpstreamPool pool;
     transport::HttpCaller httpClient;
@@ -51,6 +53,7 @@
 
     bool draining = false; ///< Set by SIGTERM: the gateway reports not ready and closes each connection after its response.
     Instant drainingSince{0};
+    Instant exitAt = Instant::max(); ///< When responses that are not complete are cut off.
     Instant upstreamsReadAt{0}; ///< When this gateway last read the upstreams from the store, not from another gateway.
     bool fastUpstreamPolling = false; ///< Set while a group lacks a rank: the store is polled at shorter intervals for its new registration.
     int activeRequests = 0; ///< Requests that were read completely and are not yet answered.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -166,6 +166,9 @@
     if (const std::optional<milliseconds> timeLeft = quarantineTimeLeft(framework::monotonicNow())) {
         co_return co_await sendRefusal(ResultCode::Quarantined, *timeLeft);
     }
+    if (const std::optional<milliseconds> delay = retryDelayBeforeExit(framework::monotonicNow())) {
+        co_return co_await sendRefusal(ResultCode::Draining, *delay);
+    }
     if (context_.dispatcher.hasEngines(service_)) {
         const std::optional<milliseconds> timeLeft = co_await waitForEngineSlot();
         if (timeLeft) {
@@ -192,6 +195,13 @@
             minRetryAfter = *timeLeft;
             break;
         }
+        // Draining may have begun while the request waited or was tried. A stream under way is continued for as long as possible.
+        const std::optional<milliseconds> delayBeforeExit = mayHaveRun_ || relay_.started() ? std::nullopt : retryDelayBeforeExit(now);
+        if (delayBeforeExit) {
+            lastCode = ResultCode::Draining;
+            minRetryAfter = *delayBeforeExit;
+            break;
+        }
         const std::vector<std::string> silent = context_.silenceDetector.silentUpstreams(service_, now);
         auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0, silent}, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
@@ -205,6 +215,10 @@
         }
         auto &placement = std::get<dispatch::Placement>(decision);
         triedUpstreams_.push_back(placement.upstream);
+        if (sendCount == 0 && firstSentAt_ == Instant{0}) {
+            firstSentAt_ = now;
+            context_.completionTimes.onSent(match_.route->name, now);
+        }
         last = co_await runAttempt(std::move(placement));
         const bool sent = upstreamConnection_ != nullptr;
         upstreamConnection_ = nullptr;
@@ -216,13 +230,17 @@
             break;
         }
     }
+    if (firstSentAt_ != Instant{0}) {
+        context_.completionTimes.onEnded(match_.route->name, firstSentAt_, last == AttemptOutcome::Answered, framework::monotonicNow());
+    }
     if (last == AttemptOutcome::Answered) {
         logCompletion(ResultCode::Ok, 200);
         co_return canKeepConnection();
     }
     if (last == AttemptOutcome::NotRun && !relay_.started() && !failureResponse_ && !mayHaveRun_) {
         const Duration left = callerDeadline_ - framework::monotonicNow();
-        co_return co_await sendRefusal(lastCode, std::max(minRetryAfter, context_.retryDelay.choose(causeOf(lastCode), left)));
+        const bool elsewhere = lastCode == ResultCode::Draining;
+        co_return co_await sendRefusal(lastCode, elsewhere ? minRetryAfter : std::max(minRetryAfter, context_.retryDelay.choose(causeOf(lastCode), left)));
     }
     co_return co_await finishUnsuccessful(last);
 }
@@ -244,6 +262,25 @@
     return timeLeft;
 }
 
+std::optional<milliseconds> Exchange::retryDelayBeforeExit(Instant now)
+{
+    if (!context_.draining || context_.completionTimes.canEndBefore(context_.exitAt, match_.route->name, deadline_, now)) {
+        return std::nullopt;
+    }
+    const size_t others = context_.peers.serving(now).size();
+    const milliseconds delay = others > 0 ? milliseconds{0} : context_.retryDelay.choose(dispatch::RefusalCause::Outage, callerDeadline_ - now);
+    const std::optional<Duration> needed = context_.completionTimes.upperBound(match_.route->name, now);
+    context_.log.report({"forwarding",
+                         "refused",
+                         ResultCode::Draining,
+                         request_.headers.requestId,
+                         {{"needed_ms", needed ? std::to_string(toMilliseconds(*needed).count()) : std::string("unknown")},
+                          {"left_ms", std::to_string(toMilliseconds(context_.exitAt - now).count())},
+                          {"serving_others", std::to_string(others)},
+                          {"retry_after_ms", std::to_string(delay.count())}}});
+    return delay;
+}
+
 bool Exchange::consumeRetryBudget(Instant now)
 {
     const bool allowed = context_.retryBudget.tryAcquireRetry(service_, now);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -235,6 +235,7 @@
 {
     context_.draining = true;
     context_.drainingSince = framework::monotonicNow();
+    context_.exitAt = context_.drainingSince + context_.settings.bounds.grace - EXIT_MARGIN;
     context_.log.report(
         {"process", "draining", ResultCode::Draining, "", {{"signal", std::to_string(signal)}, {"active_requests", std::to_string(context_.activeRequests)}}});
     onFleetChange();
@@ -244,10 +245,9 @@
 
 asio::awaitable<void> Gateway::drain()
 {
-    const Instant end = context_.drainingSince + context_.settings.bounds.grace - EXIT_MARGIN;
     const Instant addressesExpireAt = context_.drainingSince + ADDRESS_TTL_MULTIPLE * ADDRESS_TTL + milliseconds{500};
     asio::co_spawn(reactor_, storeSync_.unregister(), asio::detached);
-    while (framework::monotonicNow() < end) {
+    while (framework::monotonicNow() < context_.exitAt) {
         co_await transport::sleepFor(DRAIN_POLL_INTERVAL);
         const Instant now = framework::monotonicNow();
         if (now <= addressesExpireAt) {
--- a/src/gateway/tests/processes_tests.cpp
+++ b/src/gateway/tests/processes_tests.cpp
@@ -1,17 +1,14 @@
 // Tests that run gateways as separate processes, kill and restart them. The store and the crashing upstreams are simulated.
 
 #include "fleetfixture.h"
+#include "gatewayprocess.h"
 #include "storestandin.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <random>
-#include <spawn.h>
 #include <string>
-#include <sys/wait.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -20,8 +17,6 @@
 using namespace daisymount::gateway;
 using namespace daisymount::gateway::tests;
 
-extern char **environ;
-
 namespace
 {
 using std::chrono::milliseconds;
@@ -40,78 +35,6 @@
 constexpr size_t UPSTREAMS = 6;
 const std::string CRASHING_BODY = "crash";
 
-uint16_t freePort(asio::io_context &reactor, const std::string &ip)
-{
-    asio::ip::tcp::acceptor probe(reactor, {asio::ip::make_address_v4(ip), 0});
-    return probe.local_endpoint().port();
-}
-
-/// Gateway process, killed at the latest by the destructor.
-class GatewayProcess
-{
-public:
-    GatewayProcess(asio::io_context &reactor, size_t number, const std::string &store, uint16_t peerPort, const std::filesystem::path &folder)
-        : settings_(folder / ("gateway" + std::to_string(number) + ".toml")), log_(folder / ("gateway" + std::to_string(number) + ".log"))
-    {
-        const std::string ip = "127.72.0." + std::to_string(number);
-        endpoint_ = {asio::ip::make_address_v4(ip), freePort(reactor, ip)};
-        std::ofstream file(settings_);
-        const auto address = [&](uint16_t port) { return "\"" + ip + ":" + std::to_string(port) + "\"\n"; };
-        file << "node_name = \"gateway" << number << "\"\nip = \"" << ip << "\"\nzone = \"z\"\nregion = \"r\"\nport_range = [" << peerPort << ","
-             << peerPort + 1 << "]\nseeds = [\"127.72.0.1:1\"]\n[listen]\nfront = " << address(endpoint_.port()) << "ready = " << address(freePort(reactor, ip))
-             << "directory = " << address(freePort(reactor, ip)) << "[limits]\nmemory_mb = 256\nmax_fds = 1024\n[platform]\naddress = \"" << store
-             << "\"\n[bounds]\ncontact_ms = 3000\nbudget_slack = 1000.0\n";
-    }
-
-    ~GatewayProcess()
-    {
-        kill();
-    }
-
-    GatewayProcess(const GatewayProcess &) = delete;
-    GatewayProcess &operator=(const GatewayProcess &) = delete;
-
-    void start()
-    {
-        const std::string variable = "DAISYMOUNT_CONFIG=" + settings_.string();
-        std::vector<char *> environment;
-        for (char **entry = environ; *entry != nullptr; ++entry) {
-            environment.push_back(*entry);
-        }
-        environment.push_back(const_cast<char *>(variable.c_str()));
-        environment.push_back(nullptr);
-        posix_spawn_file_actions_t files;
-        posix_spawn_file_actions_init(&files);
-        posix_spawn_file_actions_addopen(&files, 1, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        // The child must not inherit the listening sockets of the simulated upstreams.
-        posix_spawn_file_actions_addclosefrom_np(&files, 3);
-        char program[] = GATEWAY_PROGRAM;
-        char *arguments[] = {program, nullptr};
-        LONGS_EQUAL(0, posix_spawn(&process_, program, &files, nullptr, arguments, environment.data()));
-        posix_spawn_file_actions_destroy(&files);
-    }
-
-    void kill()
-    {
-        if (process_ > 0) {
-            ::kill(process_, SIGKILL);
-            ::waitpid(process_, nullptr, 0);
-            process_ = 0;
-        }
-    }
-
-    asio::ip::tcp::endpoint endpoint() const
-    {
-        return endpoint_;
-    }
-
-private:
-    std::filesystem::path settings_;
-    std::filesystem::path log_;
-    asio::ip::tcp::endpoint endpoint_;
-    pid_t process_ = 0;
-};
-
 /// Never destroyed, because suspended coroutines refer to it.
 class ProcessFixture
 {
@@ -129,14 +52,14 @@
         folder_ = ::mkdtemp(pattern.data());
         const uint16_t peerPort = freePort(reactor_, "127.72.0.1");
         for (size_t number = 1; number <= GATEWAYS; ++number) {
-            gateways_.push_back(std::make_unique<GatewayProcess>(reactor_, number, store_.address(), peerPort, folder_));
+            gateways_.push_back(std::make_unique<GatewayProcess>(reactor_, "127.72.0.", number, store_.address(), peerPort, folder_));
         }
     }
 
     void startAll()
     {
         for (const auto &gateway : gateways_) {
-            gateway->start();
+            CHECK_TRUE(gateway->start());
         }
     }
 
