A change in progress is not handed over when no other gateway serves

Nobody could take over, and a held group stood until a gateway had started again. Now control is kept for the change as long as no other gateway serves, up to the exit.

Test: ControlTerm.changeInProgressIsNotLeftToNobody (the last check fails with the old rule, which knew no other gateways).

--- a/src/gateway/controlterm.h
+++ b/src/gateway/controlterm.h
@@ -35,6 +35,12 @@
     /// Fencing number sent with each order; 0 before the first term.
     int64_t fencing() const;
 
+    /// Tells whether a gateway that has been shutting down for @p draining should give up control. A group that is held stands until a controller
+    /// completes the change, so that a change in progress is left to another gateway only if there is one.
+    static bool shouldHandOver(bool changeInProgress, bool otherServes, framework::Duration draining);
+
+    /// Time limit for completing a change on shutdown while another gateway can take over.
+    static constexpr framework::Duration MAX_HANDOVER = framework::seconds{2};
     /// Time that a term outlives its lease while the store does not respond.
     static constexpr framework::Duration MAX_GRACE_PERIOD = framework::seconds{20};
     /// A longer gap between two checks means that the machine was suspended and another gateway may have taken control.
--- a/src/gateway/internal/controlterm.cpp
+++ b/src/gateway/internal/controlterm.cpp
@@ -78,4 +78,9 @@
     return fencing_;
 }
 
+bool ControlTerm::shouldHandOver(bool changeInProgress, bool otherServes, framework::Duration draining)
+{
+    return !changeInProgress || (otherServes && draining > MAX_HANDOVER);
+}
+
 } // namespace daisymount::gateway
--- a/src/gateway/internal/maplease.cpp
+++ b/src/gateway/internal/maplease.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds CLOCK_DRIFT_MARGIN{300};
 constexpr milliseconds STORE_CALL_TIMEOUT{600};
 constexpr milliseconds ACQUIRE_INTERVAL{500};
-/// Time limit for completing the change in progress on shutdown, after which the lease is released for the successor.
-constexpr milliseconds MAX_HANDOVER{2'000};
 constexpr milliseconds HANDOVER_POLL_INTERVAL{100};
 
 /// Time that includes suspension of the machine, because a lease also expires while its holder is suspended.
@@ -84,7 +82,9 @@
         if (!ended.empty()) {
             drop(ended);
         }
-        const bool leaving = context_.draining && (!changeInProgress_() || framework::monotonicNow() - context_.drainingSince > MAX_HANDOVER);
+        const Instant now = framework::monotonicNow();
+        const bool leaving
+            = context_.draining && ControlTerm::shouldHandOver(changeInProgress_(), !context_.peers.serving(now).empty(), now - context_.drainingSince);
         if (term_.active() && leaving) {
             co_await release();
         } else if (term_.active()) {
--- a/src/gateway/tests/controlterm_tests.cpp
+++ b/src/gateway/tests/controlterm_tests.cpp
@@ -68,3 +68,11 @@
     CHECK_FALSE(term.mayIssueOrders(now));
     CHECK(term.endReason(now).empty());
 }
+
+TEST(ControlTerm, changeInProgressIsNotLeftToNobody)
+{
+    CHECK(ControlTerm::shouldHandOver(false, false, milliseconds{0}));
+    CHECK_FALSE(ControlTerm::shouldHandOver(true, true, milliseconds{1'000}));
+    CHECK(ControlTerm::shouldHandOver(true, true, milliseconds{3'000}));
+    CHECK_FALSE(ControlTerm::shouldHandOver(true, false, milliseconds{3'000}));
+}
