--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -29,9 +29,9 @@
     void onRetry(std::string_view service, bool allowed);
     /// Records a call to the store. @p result is "ok", the name of a result code, an HTTP status or "no_reply".
     void onStoreCall(std::string_view call, std::string_view result);
-    /// Records an event of crash attribution. @p event is the name of the log event.
     /// An upstream was found silent, or responds again.
     void onSilenceChange(bool silent);
+    /// Records an event of crash attribution. @p event is the name of the log event.
     void onCrashEvent(std::string_view event);
     void onOrder(std::string_view order, std::string_view outcome);
     void setGauge(std::string_view name, double value);
