A gateway that has just started doesn't take its few observations for the longest ones

What has ended in so short a time is what is short; the long streams were under way.

Now the spread grows when there are few observations (4 / count added to 1.25), and a route's bound is unknown until the process has passed requests on for twice the longest observation; then only the request's deadline tells.

--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -30,12 +30,19 @@
     bool canEndBefore(framework::Instant end, std::string_view route, framework::Instant deadline, framework::Instant now) const;
 
 private:
+    struct Observations
+    {
+        framework::Duration longest{0};
+        int count = 0;
+    };
+
     struct RouteTimes
     {
         std::multiset<framework::Instant> sentAt; ///< Of the requests under way.
+        framework::Instant firstSentAt{0};
         framework::Instant periodStart{0};
-        framework::Duration longest{0}; ///< Of the requests that ended in the current period.
-        framework::Duration longestBefore{0}; ///< The same for the period before.
+        Observations current; ///< Of the requests that ended in the current period.
+        Observations before; ///< The same for the period before.
     };
 
     std::map<std::string, RouteTimes, std::less<>> routes_; ///< By name.
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -15,8 +15,11 @@
 /// Observations are kept for one to two periods.
 constexpr framework::seconds PERIOD{15};
 /// Load shifts to the remaining gateways while others restart, which makes requests slower than the slowest so far.
-constexpr int SPREAD_NUMERATOR = 5;
-constexpr int SPREAD_DENOMINATOR = 4;
+constexpr double SPREAD = 1.25;
+/// Added to SPREAD after division by the number of observations, since the slowest of a few tells little.
+constexpr double SPREAD_OF_FEW = 4.0;
+/// A process that has passed requests on for less than this multiple of its longest observation has not seen the long ones end.
+constexpr int MIN_HISTORY_MULTIPLE = 2;
 } // namespace
 
 void CompletionTimes::onSent(std::string_view route, Instant now)
@@ -24,6 +27,7 @@
     auto found = routes_.find(route);
     if (found == routes_.end()) {
         found = routes_.emplace(std::string(route), RouteTimes{}).first;
+        found->second.firstSentAt = now;
     }
     found->second.sentAt.insert(now);
 }
@@ -43,11 +47,12 @@
         return;
     }
     if (now - times.periodStart >= PERIOD) {
-        times.longestBefore = now - times.periodStart < 2 * PERIOD ? times.longest : Duration{0};
-        times.longest = Duration{0};
+        times.before = now - times.periodStart < 2 * PERIOD ? times.current : Observations{};
+        times.current = {};
         times.periodStart = now;
     }
-    times.longest = std::max(times.longest, now - sentAt);
+    times.current.longest = std::max(times.current.longest, now - sentAt);
+    ++times.current.count;
 }
 
 std::optional<Duration> CompletionTimes::upperBound(std::string_view route, Instant now) const
@@ -57,17 +62,21 @@
         return std::nullopt;
     }
     const RouteTimes &times = found->second;
-    Duration longest{0};
+    Observations recent;
     if (now - times.periodStart < 2 * PERIOD) {
-        longest = std::max(times.longest, now - times.periodStart < PERIOD ? times.longestBefore : Duration{0});
+        recent = times.current;
     }
-    if (longest == Duration{0}) {
+    if (now - times.periodStart < PERIOD) {
+        recent.longest = std::max(recent.longest, times.before.longest);
+        recent.count += times.before.count;
+    }
+    if (recent.count == 0 || now - times.firstSentAt < MIN_HISTORY_MULTIPLE * recent.longest) {
         return std::nullopt;
     }
     if (!times.sentAt.empty()) {
-        longest = std::max(longest, now - *times.sentAt.begin());
+        recent.longest = std::max(recent.longest, now - *times.sentAt.begin());
     }
-    return longest * SPREAD_NUMERATOR / SPREAD_DENOMINATOR;
+    return std::chrono::duration_cast<Duration>(recent.longest * (SPREAD + SPREAD_OF_FEW / recent.count));
 }
 
 bool CompletionTimes::canEndBefore(Instant end, std::string_view route, Instant deadline, Instant now) const
