--- a/buildscripts/test.sh
+++ b/buildscripts/test.sh
@@ -33,6 +33,7 @@
 step build "$ROOT/buildscripts/build.sh" "$BUILD"
 step tests ctest --test-dir "$BUILD" --output-on-failure -j 4
 if [ "$QUICK" != --quick ]; then
+    step "release build" "$ROOT/buildscripts/build.sh" "$ROOT/build-release" -DCMAKE_BUILD_TYPE=Release
     step models "$ROOT/models/check.sh" "$BUILD/models"
     step "address and undefined behaviour sanitizers" sanitized asan address,undefined
     step "thread sanitizer" sanitized tsan thread
--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -7,6 +7,7 @@
 
 #include "framework/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +17,17 @@
 namespace daisymount::dispatch
 {
 
+/// What a request tells about its end.
+struct RequestLength
+{
+    std::string_view route;
+    framework::Instant deadline{0};
+    std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
+};
+
+/// Upper bound on the duration of a stream of @p maxTokens, of which each pass brings @p tokensPerPass.
+framework::Duration longestStream(int64_t maxTokens, int tokensPerPass, framework::Duration passTime, framework::Duration timeToFirstEvent);
+
 class CompletionTimes
 {
 public:
@@ -26,8 +38,11 @@
 
     /// Time within which a request that is passed on now very probably ends; empty if there are no recent observations.
     std::optional<framework::Duration> upperBound(std::string_view route, framework::Instant now) const;
-    /// True if a request that is passed on now can end before @p end: by upperBound() or, without observations, by its @p deadline.
-    bool canEndBefore(framework::Instant end, std::string_view route, framework::Instant deadline, framework::Instant now) const;
+    /// Time that a request needs at most; empty if nothing is known. A process that has run for some time relies on what it has seen, a younger one
+    /// on what the request states, if it does.
+    std::optional<framework::Duration> needed(const RequestLength &request, framework::Instant now) const;
+    /// True if a request that is passed on now can end before @p end: by needed() or, if nothing is known, by its deadline.
+    bool canEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
 
 private:
     struct Observations
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -18,7 +18,10 @@
 constexpr double SPREAD = 1.25;
 /// Added to SPREAD after division by the number of observations, since the slowest of a few tells little.
 constexpr double SPREAD_OF_FEW = 4.0;
-/// A process that has passed requests on for less than this multiple of its longest observation has not seen the long ones end.
+/// A process that has passed requests on for this time has seen the usual load and relies on it.
+constexpr framework::seconds FULL_HISTORY{15};
+/// Without a statement of the request: a process that has passed requests on for less than this multiple of its longest observation has not seen the long ones
+/// end.
 constexpr int MIN_HISTORY_MULTIPLE = 2;
 } // namespace
 
@@ -79,13 +82,27 @@
     return std::chrono::duration_cast<Duration>(recent.longest * (SPREAD + SPREAD_OF_FEW / recent.count));
 }
 
-bool CompletionTimes::canEndBefore(Instant end, std::string_view route, Instant deadline, Instant now) const
+std::optional<Duration> CompletionTimes::needed(const RequestLength &request, Instant now) const
 {
-    if (deadline <= end) {
+    const auto found = routes_.find(request.route);
+    const bool knows = found != routes_.end() && now - found->second.firstSentAt >= FULL_HISTORY;
+    const std::optional<Duration> seen = upperBound(request.route, now);
+    return request.stated && !(knows && seen) ? request.stated : seen;
+}
+
+bool CompletionTimes::canEndBefore(Instant end, const RequestLength &request, Instant now) const
+{
+    if (request.deadline <= end) {
         return true;
     }
-    const std::optional<Duration> needed = upperBound(route, now);
-    return needed && now + *needed <= end;
+    const std::optional<Duration> duration = needed(request, now);
+    return duration && now + *duration <= end;
+}
+
+Duration longestStream(int64_t maxTokens, int tokensPerPass, Duration passTime, Duration timeToFirstEvent)
+{
+    const int64_t passes = (maxTokens + tokensPerPass - 1) / std::max(1, tokensPerPass);
+    return timeToFirstEvent + std::chrono::duration_cast<Duration>(passes * passTime * SPREAD);
 }
 
 } // namespace daisymount::dispatch
--- a/src/dispatch/tests/completiontimes_tests.cpp
+++ b/src/dispatch/tests/completiontimes_tests.cpp
@@ -83,12 +83,12 @@
 
 TEST(CompletionTimes, withoutObservationsOnlyTheDeadlineTells)
 {
-    CHECK(times.canEndBefore(now + seconds{5}, "a", now + seconds{3}, now));
-    CHECK_FALSE(times.canEndBefore(now + seconds{5}, "a", now + seconds{8}, now));
+    CHECK(times.canEndBefore(now + seconds{5}, {"a", now + seconds{3}}, now));
+    CHECK_FALSE(times.canEndBefore(now + seconds{5}, {"a", now + seconds{8}}, now));
     playMany("a", milliseconds{1'000});
     now += seconds{3};
-    CHECK(times.canEndBefore(now + seconds{5}, "a", now + seconds{8}, now));
-    CHECK_FALSE(times.canEndBefore(now + seconds{1}, "a", now + seconds{8}, now));
+    CHECK(times.canEndBefore(now + seconds{5}, {"a", now + seconds{8}}, now));
+    CHECK_FALSE(times.canEndBefore(now + seconds{1}, {"a", now + seconds{8}}, now));
 }
 
 TEST(CompletionTimes, nothingPassedOnBeforeAShutdownIsCut)
@@ -109,7 +109,7 @@
                     seen.onEnded("a", underWay.begin()->second, true, underWay.begin()->first);
                     underWay.erase(underWay.begin());
                 }
-                if (at >= stop && !seen.canEndBefore(exit, "a", at + seconds{8}, at)) {
+                if (at >= stop && !seen.canEndBefore(exit, {"a", at + seconds{8}}, at)) {
                     continue;
                 }
                 seen.onSent("a", at);
@@ -123,3 +123,24 @@
         }
     }
 }
+
+TEST(CompletionTimes, youngProcessReliesOnTheLengthThatARequestStates)
+{
+    playMany("a", milliseconds{500});
+    now += seconds{4};
+    const RequestLength request{"a", now + seconds{8}, Duration{seconds{3}}};
+    CHECK(*times.needed(request, now) == Duration{seconds{3}});
+    CHECK(times.canEndBefore(now + seconds{4}, request, now));
+    CHECK_FALSE(times.canEndBefore(now + seconds{2}, request, now));
+    now += seconds{15};
+    playMany("a", milliseconds{500});
+    CHECK(*times.needed(request, now) < Duration{seconds{1}});
+}
+
+TEST(CompletionTimes, streamTakesAPassForTheTokensOfEachEvent)
+{
+    const Duration bound = longestStream(140, 5, milliseconds{80}, milliseconds{400});
+    CHECK(bound >= Duration{milliseconds{400 + 28 * 80}});
+    CHECK(bound <= Duration{milliseconds{400 + 28 * 100}});
+    CHECK(longestStream(141, 5, milliseconds{80}, milliseconds{400}) > bound);
+}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,6 +105,8 @@
     bool canRetry(AttemptOutcome outcome) const;
     /// Returns the remaining quarantine time if the request is known to crash upstreams, else an empty value.
     std::optional<milliseconds> quarantineTimeLeft(Instant now);
+    /// What the request tells about its end.
+    dispatch::RequestLength length(Instant now) const;
     /// If this gateway shuts down before the request would end, returns when the caller should try another gateway.
     std::optional<milliseconds> retryDelayBeforeExit(Instant now);
     /// Updates crash attribution: a response clears the request, a broken connection makes it a suspect.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -262,14 +262,31 @@
     return timeLeft;
 }
 
+dispatch::RequestLength Exchange::length(Instant now) const
+{
+    const fleet::Route &route = *match_.route;
+    dispatch::RequestLength request{route.name, deadline_};
+    const auto service = match_.config->services.find(service_);
+    const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
+    const int64_t tokens = request_.headers.maxAnswerTokens;
+    if (route.kind == fleet::RequestKind::Stream && tokens > 0 && passTime && service != match_.config->services.end() && service->second.engine) {
+        request.stated = dispatch::longestStream(tokens, service->second.engine->stepsPerPass, *passTime, route.latencyObjective);
+    }
+    return request;
+}
+
 std::optional<milliseconds> Exchange::retryDelayBeforeExit(Instant now)
 {
-    if (!context_.draining || context_.completionTimes.canEndBefore(context_.exitAt, match_.route->name, deadline_, now)) {
+    if (!context_.draining) {
+        return std::nullopt;
+    }
+    const dispatch::RequestLength request = length(now);
+    if (context_.completionTimes.canEndBefore(context_.exitAt, request, now)) {
         return std::nullopt;
     }
     const size_t others = context_.peers.serving(now).size();
     const milliseconds delay = others > 0 ? milliseconds{0} : context_.retryDelay.choose(dispatch::RefusalCause::Outage, callerDeadline_ - now);
-    const std::optional<Duration> needed = context_.completionTimes.upperBound(match_.route->name, now);
+    const std::optional<Duration> needed = context_.completionTimes.needed(request, now);
     context_.log.report({"forwarding",
                          "refused",
                          ResultCode::Draining,
