--- a/src/gateway/controlterm.h
+++ b/src/gateway/controlterm.h
@@ -2,7 +2,7 @@
 //
 // If the store stops responding, no other gateway can acquire the lease, so the current holder keeps control for a grace period after
 // the lease expires. This is safe: a rank rejects an order whose fencing number is lower than one it has already seen, and a new
-// controller sends an order to every rank before it changes anything.
+// controller holds the group at a rank of its own before it takes anything back (see groupswitch.h).
 
 #pragma once
 
