A rank that leaves several orders unanswered is asked for its report

With arms repeated without limit, an agent that is gone would have kept the group held. Now five unanswered orders in a row are followed by a report, in every phase but Preparing, which reads reports anyway.

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -136,6 +136,7 @@
         bool lateArmPossible = false; ///< An arm or hold may still be executed, so a further prepare has to invalidate it.
         int64_t sealedVersion = 0; ///< Version of the prepare that invalidated late orders, 0 if there was none.
         bool callInFlight = false;
+        int unansweredOrders = 0; ///< In a row.
         Instant nextCallAt{0};
         Instant answeredAt{0}; ///< When the last reply or report arrived.
         Instant lastOrderAt{0}; ///< Reports requested earlier do not reflect the last order.
--- a/src/expertmap/internal/groupswitchreplies.cpp
+++ b/src/expertmap/internal/groupswitchreplies.cpp
@@ -7,6 +7,12 @@
 namespace daisymount::expertmap
 {
 
+namespace
+{
+/// So many unanswered orders in a row may mean that the rank is not reached this way, which a report tells.
+constexpr int MAX_UNANSWERED_ORDERS = 5;
+} // namespace
+
 void GroupSwitch::onReply(const SwitchCommand &command, OrderOutcome outcome, Instant now)
 {
     Rank &rank = ranks_[static_cast<size_t>(command.rank)];
@@ -36,6 +42,11 @@
         onDisarmReply(rank, outcome);
         break;
     }
+    rank.unansweredOrders = outcome == OrderOutcome::Unknown ? rank.unansweredOrders + 1 : 0;
+    if (phase_ != SwitchPhase::Preparing && rank.unansweredOrders >= MAX_UNANSWERED_ORDERS) {
+        rank.unansweredOrders = 0;
+        rank.readReportNext = true;
+    }
 }
 
 void GroupSwitch::onSealReply(Rank &rank, const RankOrder &seal, OrderOutcome outcome)
--- a/src/expertmap/tests/groupswitch_tests.cpp
+++ b/src/expertmap/tests/groupswitch_tests.cpp
@@ -276,6 +276,29 @@
     CHECK(switched >= 90);
 }
 
+TEST(GroupSwitch, readsTheReportOfARankThatLeavesSeveralArmsUnanswered)
+{
+    // The driver finds another way to a rank, past the agent on its machine, when a report stays unanswered.
+    SimulatedGroup group(RANKS, {}, 1);
+    Driver driver(group, begin(group, 1, 7, SwitchOptions::lowLatency()));
+    int unansweredArms = 0;
+    int reports = 0;
+    for (int i = 0; i < 300; ++i, now += STEP) {
+        group.advance(now);
+        for (const SwitchCommand &command : driver.change().tick(now)) {
+            if (command.rank == 3 && command.order && command.order->kind == OrderKind::Arm) {
+                ++unansweredArms;
+                driver.change().onReply(command, OrderOutcome::Unknown, now);
+                continue;
+            }
+            reports += command.rank == 3 && !command.order && driver.change().phase() == SwitchPhase::Arming ? 1 : 0;
+            driver.send(command, now);
+        }
+    }
+    CHECK(unansweredArms > 10);
+    CHECK(reports >= unansweredArms / 10);
+}
+
 TEST(GroupSwitch, groupIsNotHeldWhileARankThatHasPreparedIsUnresponsive)
 {
     // One VM is slow to prepare; before it has done so, the VM of another rank stops for 3 s.
