A young draining gateway expects no less than it has seen

Cause: the gateway had passed requests on for 14 s, less than the 15 s after which it relies on what it has seen, and took the stated length alone. That rests on the current pass time, which was short at that moment and grew as the other gateways' callers came back.

Now a young gateway takes the longer of the two.

--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -39,7 +39,7 @@
     /// Time within which a request that is passed on now very probably ends; empty if there are no recent observations.
     std::optional<framework::Duration> upperBound(std::string_view route, framework::Instant now) const;
     /// Time that a request needs at most; empty if nothing is known. A process that has run for some time relies on what it has seen, a younger one
-    /// on what the request states, if it does.
+    /// on that and on what the request states, whichever is longer.
     std::optional<framework::Duration> needed(const RequestLength &request, framework::Instant now) const;
     /// True if a request that is passed on now can end before @p end: by needed() or, if nothing is known, by its deadline.
     bool canEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -87,7 +87,10 @@
     const auto found = routes_.find(request.route);
     const bool knows = found != routes_.end() && now - found->second.firstSentAt >= FULL_HISTORY;
     const std::optional<Duration> seen = upperBound(request.route, now);
-    return request.stated && !(knows && seen) ? request.stated : seen;
+    if (!request.stated || (knows && seen)) {
+        return seen;
+    }
+    return std::max(*request.stated, seen.value_or(Duration{0}));
 }
 
 bool CompletionTimes::canEndBefore(Instant end, const RequestLength &request, Instant now) const
--- a/src/dispatch/tests/completiontimes_tests.cpp
+++ b/src/dispatch/tests/completiontimes_tests.cpp
@@ -137,6 +137,15 @@
     CHECK(*times.needed(request, now) < Duration{seconds{1}});
 }
 
+TEST(CompletionTimes, youngProcessDoesNotExpectLessThanItHasSeen)
+{
+    // The pass time, on which the stated length rests, is short at the moment.
+    playMany("a", milliseconds{2'900});
+    now += seconds{14};
+    const RequestLength request{"a", now + seconds{8}, Duration{milliseconds{3'300}}};
+    CHECK(*times.needed(request, now) >= Duration{milliseconds{3'600}});
+}
+
 TEST(CompletionTimes, streamTakesAPassForTheTokensOfEachEvent)
 {
     const Duration bound = longestStream(140, 5, milliseconds{80}, milliseconds{400});
