A stream is not expected to be faster than its route's pauses allow

The gateway had started less than two seconds before its signal.

Cause: the stated length of a stream rested on the pass time of that moment. While all gateways restart few requests are under way and passes are fast (81 ms or less here); they slow down as callers come back.

Now each event of a stream is taken to need at least the route's pause objective, the pace at which the stream is still on time, or 1.25 of the current pass time if that is longer. Without either nothing is stated, as before.

--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -25,8 +25,18 @@
     std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
 };
 
-/// Upper bound on the duration of a stream of @p maxTokens, of which each pass brings @p tokensPerPass.
-framework::Duration longestStream(int64_t maxTokens, int tokensPerPass, framework::Duration passTime, framework::Duration timeToFirstEvent);
+/// What is known of a stream before it begins.
+struct StreamLength
+{
+    int64_t maxTokens = 0;
+    int tokensPerPass = 1;
+    std::optional<framework::Duration> passTime = std::nullopt; ///< Of the most recent passes.
+    framework::Duration pauseObjective{0}; ///< Longest pause between events with which the stream is on time, 0 if there is no objective.
+    framework::Duration timeToFirstEvent{0};
+};
+
+/// Upper bound on the duration of a stream, each of whose events takes a pass; empty if the time of a pass is unknown.
+std::optional<framework::Duration> longestStream(const StreamLength &stream);
 
 class CompletionTimes
 {
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -102,10 +102,17 @@
     return duration && now + *duration <= end;
 }
 
-Duration longestStream(int64_t maxTokens, int tokensPerPass, Duration passTime, Duration timeToFirstEvent)
+std::optional<Duration> longestStream(const StreamLength &stream)
 {
-    const int64_t passes = (maxTokens + tokensPerPass - 1) / std::max(1, tokensPerPass);
-    return timeToFirstEvent + std::chrono::duration_cast<Duration>(passes * passTime * SPREAD);
+    const int tokensPerPass = std::max(1, stream.tokensPerPass);
+    const int64_t passes = (stream.maxTokens + tokensPerPass - 1) / tokensPerPass;
+    const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
+    // Passes are fast while callers are away, for example because all gateways restart, and slow down as they come back.
+    const Duration pause = std::max(observed, stream.pauseObjective);
+    if (pause == Duration{0}) {
+        return std::nullopt;
+    }
+    return stream.timeToFirstEvent + passes * pause;
 }
 
 } // namespace daisymount::dispatch
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -267,10 +267,10 @@
     const fleet::Route &route = *match_.route;
     dispatch::RequestLength request{route.name, deadline_};
     const auto service = match_.config->services.find(service_);
-    const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
     const int64_t tokens = request_.headers.maxAnswerTokens;
-    if (route.kind == fleet::RequestKind::Stream && tokens > 0 && passTime && service != match_.config->services.end() && service->second.engine) {
-        request.stated = dispatch::longestStream(tokens, service->second.engine->stepsPerPass, *passTime, route.latencyObjective);
+    if (route.kind == fleet::RequestKind::Stream && tokens > 0 && service != match_.config->services.end() && service->second.engine) {
+        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
+        request.stated = dispatch::longestStream({tokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
     }
     return request;
 }
