The expected pace of a stream is its mean pause, not the longest one

Cause: the token bound of a request is well above what streams bring, and it was multiplied by the longest pause with which a stream is on time.

Now the mean pause under load is taken, two thirds of the objective, or 1.25 of the current pass time if that is longer.

--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -18,6 +18,9 @@
 constexpr double SPREAD = 1.25;
 /// Added to SPREAD after division by the number of observations, since the slowest of a few tells little.
 constexpr double SPREAD_OF_FEW = 4.0;
+/// Mean pause of a stream under load as a fraction of the longest one with which it is on time.
+constexpr int MEAN_PAUSE_NUMERATOR = 2;
+constexpr int MEAN_PAUSE_DENOMINATOR = 3;
 /// A process that has passed requests on for this time has seen the usual load and relies on it.
 constexpr framework::seconds FULL_HISTORY{15};
 /// Without a statement of the request: a process that has passed requests on for less than this multiple of its longest observation has not seen the long ones
@@ -108,7 +111,7 @@
     const int64_t passes = (stream.maxTokens + tokensPerPass - 1) / tokensPerPass;
     const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
     // Passes are fast while callers are away, for example because all gateways restart, and slow down as they come back.
-    const Duration pause = std::max(observed, stream.pauseObjective);
+    const Duration pause = std::max(observed, stream.pauseObjective * MEAN_PAUSE_NUMERATOR / MEAN_PAUSE_DENOMINATOR);
     if (pause == Duration{0}) {
         return std::nullopt;
     }
