Ranks are asked before a hold only when they have been silent for a quarter of a second

Cause: a change without lost orders takes about 230 ms from prepare to hold, so that the first answers were always older than 100 ms and every change asked all ranks again.

The test of the check is unchanged and passes.

--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 /// A rank whose last answer is older is asked for its report before the group is held.
-constexpr milliseconds MAX_SILENCE{100};
+constexpr milliseconds MAX_SILENCE{250};
 /// Time allowed for asking all ranks, after which the first answers are too old.
 constexpr milliseconds CHECK_DURATION_PER_RANK{10};
 } // namespace
