--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -20,6 +20,7 @@
 {
     crashattribution::Fingerprint fingerprint = 0;
     std::string requestId;
+    std::string promptParts; ///< Shared parts of its prompt, separated by commas, for the log.
     transport::Instant sentAt{0};
     transport::Instant interruptedAt{0};
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,6 +120,8 @@
     transport::asio::awaitable<bool> sendGatewayResponse(int status, framework::ResultCode code, std::optional<milliseconds> retryAfter);
     void logCompletion(framework::ResultCode code, int status);
     void logAttempt(const Attempt &attempt, AttemptOutcome outcome);
+    /// Shared parts of the prompt for the log, separated by commas.
+    std::string promptPartsText() const;
     bool canKeepConnection() const;
 
     GatewayContext &context_;
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -4,6 +4,8 @@
 
 #include "gateway/internal/exchangecommon.h"
 
+#include <boost/algorithm/string/join.hpp>
+
 namespace daisymount::gateway
 {
 
@@ -148,10 +150,15 @@
         && attempt.pooled.connection->readEnd() != transport::ReadEnd::Open && !attempt.reader.done();
     const bool outlivedCrashWindow = attempt.firstEventAt != Instant{0} && now - attempt.firstEventAt >= STARTUP_CRASH_WINDOW;
     if (connectionBroken && !outlivedCrashWindow) {
-        context_.crashDetector.onAttemptInterrupted(attempt.placement, {fingerprint_, request_.headers.requestId, attempt.startedAt, now});
+        context_.crashDetector.onAttemptInterrupted(attempt.placement, {fingerprint_, request_.headers.requestId, promptPartsText(), attempt.startedAt, now});
     }
 }
 
+std::string Exchange::promptPartsText() const
+{
+    return boost::algorithm::join(request_.headers.sharedPromptParts, ",");
+}
+
 void Exchange::logAttempt(const Attempt &attempt, AttemptOutcome outcome)
 {
     const Instant now = framework::monotonicNow();
@@ -163,6 +170,7 @@
                           {"born_ms", std::to_string(attempt.placement.bornMs)},
                           {"address", attempt.placement.address},
                           {"fingerprint", crashattribution::toText(fingerprint_)},
+                          {"prompt_parts", promptPartsText()},
                           {"connection", std::string(connectionState(attempt.pooled.connection.get()))},
                           {"end", std::string(toString(outcome))},
                           {"status", std::to_string(attempt.headReceived ? attempt.reader.status() : 0)},
--- a/src/gateway/internal/crashwatch.cpp
+++ b/src/gateway/internal/crashwatch.cpp
@@ -121,6 +121,7 @@
                              ResultCode::UpstreamFailed,
                              attempt.requestId,
                              {{"fingerprint", crashattribution::toText(attempt.fingerprint)},
+                              {"prompt_parts", attempt.promptParts},
                               {"upstream", incarnation.upstream},
                               {"born_ms", std::to_string(incarnation.bornMs)},
                               {"under_way_ms", std::to_string(toMilliseconds(attempt.interruptedAt - attempt.sentAt).count())},
