Parts of prompts that crash upstreams are recognised by all gateways together

Cause: crashes were attributed to whole requests. No two of these requests are equal, so none had a second crash at any gateway; the second attempt of each was a crash too.

Why this works: all requests with the part share its fingerprint, scoped by service. A part that crashes each upstream is never answered, so answers clear all others; what remains is tried by one gateway at one upstream at increasing intervals, so that a trial decides.

--- a/src/crashattribution/crashtypes.h
+++ b/src/crashattribution/crashtypes.h
@@ -17,7 +17,7 @@
 using framework::Instant;
 using framework::milliseconds;
 
-/// Hash of a RequestIdentity. Request ids are not included, since callers use a new id for each retry.
+/// Hash of a RequestIdentity or of a prompt part. Request ids are not included, since callers use a new id for each retry.
 using Fingerprint = uint64_t;
 
 /// Properties by which an upstream regards two requests as identical.
@@ -32,6 +32,9 @@
 
 Fingerprint fingerprintOf(const RequestIdentity &request);
 
+/// Fingerprint of a prompt part at the upstreams of @p service.
+Fingerprint fingerprintOfPart(std::string_view service, std::string_view part);
+
 /// Formats a fingerprint for logs as 16 hexadecimal digits.
 std::string toText(Fingerprint fingerprint);
 
--- a/src/crashattribution/internal/crashattribution.cpp
+++ b/src/crashattribution/internal/crashattribution.cpp
@@ -17,6 +17,11 @@
 /// Two entries' times of the same response differ by less than this, due to message delay and short process pauses.
 constexpr milliseconds ANSWER_TIME_TOLERANCE{1'000};
 
+/// The time of an answer is updated this many times within the clearance validity.
+constexpr int ANSWERS_PER_VALIDITY = 20;
+/// Further doublings would exceed any number of entries.
+constexpr int64_t MAX_DOUBLINGS = 16;
+
 /// Accuracy of times from other entries, which are rounded to milliseconds and shifted by different message delays.
 constexpr milliseconds CLOCK_TOLERANCE{5};
 
@@ -57,12 +62,13 @@
 
 bool CrashAttribution::onAnswered(Fingerprint fingerprint, Instant now)
 {
+    rememberAnswer(fingerprint, now);
     const auto found = suspects_.find(fingerprint);
     if (found == suspects_.end()) {
         return false;
     }
     Suspect &suspect = found->second;
-    const bool counted = suspect.isConvicted() || !evidence(suspect, now).empty();
+    const bool counted = suspect.isConvicted() || !evidenceSinceAnswer(suspect, now).empty();
     suspect.answeredAt = now;
     suspect.answerLearnedAt = now;
     updateExplained();
@@ -86,6 +92,7 @@
         if (!suspect.answeredAt || answeredAt > *suspect.answeredAt + ANSWER_TIME_TOLERANCE) {
             suspect.answeredAt = answeredAt;
             suspect.answerLearnedAt = now;
+            rememberAnswer(clearance.fingerprint, answeredAt);
         }
     }
     std::vector<Fingerprint> convicted;
@@ -113,28 +120,56 @@
     updateExplained();
     const Instant settled = now - options_.settleTime;
     std::vector<ConvictionEvidence> newConvictions;
+    for (std::vector<Fingerprint> found = convictable(settled); !found.empty(); found = convictable(settled)) {
+        for (const Fingerprint fingerprint : found) {
+            ConvictionEvidence conviction{fingerprint, {}};
+            for (const auto &[incarnation, observation] : evidenceSinceAnswer(suspects_[fingerprint], settled)) {
+                conviction.crashes.push_back(
+                    {fingerprint, incarnation, elapsed(observation.crashedAt, now), elapsed(observation.sentAt, observation.crashedAt)});
+            }
+            newConvictions.push_back(std::move(conviction));
+        }
+        for (const Fingerprint fingerprint : found) {
+            Suspect &convicted = suspects_[fingerprint];
+            convicted.convictedAt = now;
+            convicted.convictionLearnedAt = now;
+        }
+        updateExplained();
+    }
+    return newConvictions;
+}
+
+std::vector<Fingerprint> CrashAttribution::convictable(Instant until) const
+{
+    const std::map<UpstreamIncarnation, std::vector<Fingerprint>> repeated = repeatedSuspects(until);
+    const auto isDistinctive = [&repeated](Fingerprint fingerprint, const UpstreamIncarnation &incarnation) {
+        const auto suspects = repeated.find(incarnation);
+        return suspects == repeated.end() || std::ranges::all_of(suspects->second, [fingerprint](Fingerprint other) { return other == fingerprint; });
+    };
+    Fingerprint likeliest = 0;
+    size_t mostCrashes = 0;
+    std::vector<Fingerprint> ambiguous;
     for (const auto &[fingerprint, suspect] : suspects_) {
         if (suspect.isConvicted() || suspect.observations.size() < options_.crashesToConvict) {
             continue;
         }
-        const Observations counted = evidence(suspect, settled);
+        const auto isOwn = [&, fp = fingerprint](const auto &observation) { return isDistinctive(fp, observation.first); };
+        const Observations counted = evidence(suspect, until);
         const size_t crashes = successiveCrashes(counted);
-        if (crashes < options_.crashesToConvict || (crashes < options_.crashesToConvictAmbiguous && hasEquallyLikelySuspect(fingerprint, counted, settled))) {
-            continue;
-        }
-        ConvictionEvidence conviction{fingerprint, {}};
-        for (const auto &[incarnation, observation] : counted) {
-            conviction.crashes.push_back({fingerprint, incarnation, elapsed(observation.crashedAt, now), elapsed(observation.sentAt, observation.crashedAt)});
+        const bool several = crashes >= options_.crashesToConvict || (crashes > 1 && counted.size() >= options_.upstreamsToConvict);
+        const Observations sinceAnswer = evidenceSinceAnswer(suspect, until);
+        const size_t crashesSinceAnswer = successiveCrashes(sinceAnswer);
+        const bool changed = crashesSinceAnswer >= options_.crashesToConvictAmbiguous && std::ranges::all_of(sinceAnswer, isOwn);
+        if ((several && std::ranges::any_of(counted, isOwn)) || changed) {
+            if (crashesSinceAnswer > mostCrashes) {
+                mostCrashes = crashesSinceAnswer;
+                likeliest = fingerprint;
+            }
+        } else if (crashes >= options_.crashesToConvictAmbiguous && hasEquallyLikelySuspect(fingerprint, counted, until)) {
+            ambiguous.push_back(fingerprint);
         }
-        newConvictions.push_back(std::move(conviction));
     }
-    for (const ConvictionEvidence &conviction : newConvictions) {
-        Suspect &convicted = suspects_[conviction.fingerprint];
-        convicted.convictedAt = now;
-        convicted.convictionLearnedAt = now;
-    }
-    updateExplained();
-    return newConvictions;
+    return mostCrashes > 0 ? std::vector<Fingerprint>{likeliest} : ambiguous;
 }
 
 CrashStatus CrashAttribution::status(Fingerprint fingerprint, Instant now) const
@@ -159,7 +194,39 @@
 size_t CrashAttribution::crashes(Fingerprint fingerprint, Instant now) const
 {
     const auto found = suspects_.find(fingerprint);
-    return found == suspects_.end() ? 0 : successiveCrashes(evidence(found->second, now));
+    return found == suspects_.end() ? 0 : successiveCrashes(evidenceSinceAnswer(found->second, now));
+}
+
+bool CrashAttribution::isCleared(Fingerprint fingerprint, Instant now) const
+{
+    const auto answered = answered_.find(fingerprint);
+    return answered != answered_.end() && now - answered->second < options_.clearanceValidity;
+}
+
+std::optional<TrialLimit> CrashAttribution::trialLimit(Fingerprint fingerprint, size_t minCrashes, Instant now) const
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return std::nullopt;
+    }
+    const Suspect &suspect = found->second;
+    const Observations counted = evidence(suspect, now, CommonCause::Count);
+    const size_t crashes = successiveCrashes(counted);
+    const bool isCoincidence = crashes == 1 && evidence(suspect, now).empty();
+    if (crashes == 0 || crashes < minCrashes || isCoincidence) {
+        return std::nullopt;
+    }
+    const auto last = std::ranges::max_element(counted, {}, [](const auto &entry) { return entry.second.crashedAt; });
+    const Duration sinceCrash = now - last->second.crashedAt;
+    const int64_t doublings = std::min<int64_t>(static_cast<int64_t>(crashes) - 1, MAX_DOUBLINGS);
+    const milliseconds shortest = std::min(options_.trialInterval * (int64_t{1} << doublings), options_.maxTrialInterval);
+    // Different intervals separate the trials of suspects that were in flight at the same crash.
+    const milliseconds interval = shortest + milliseconds{static_cast<int64_t>(fingerprint % static_cast<uint64_t>(shortest.count()))};
+    if (sinceCrash < interval) {
+        return TrialLimit{fingerprint, crashes, elapsed(sinceCrash, interval), 0};
+    }
+    const int64_t widenings = std::min<int64_t>((sinceCrash - interval) / std::max(interval, options_.trialWidening), MAX_DOUBLINGS);
+    return TrialLimit{fingerprint, crashes, milliseconds{0}, size_t{1} << static_cast<unsigned>(widenings)};
 }
 
 CrashUpdate CrashAttribution::nextUpdate(Instant now)
@@ -201,13 +268,21 @@
     return static_cast<size_t>(std::ranges::count_if(suspects_, [&](const auto &entry) { return status(entry.first, now) == CrashStatus::Convicted; }));
 }
 
-CrashAttribution::Observations CrashAttribution::evidence(const Suspect &suspect, Instant until) const
+CrashAttribution::Observations CrashAttribution::evidence(const Suspect &suspect, Instant until, CommonCause commonCause) const
+{
+    Observations counted = evidenceSinceAnswer(suspect, until, commonCause);
+    std::erase_if(counted, [&](const auto &entry) { return suspect.answeredAt && entry.second.crashedAt < *suspect.answeredAt + options_.clearanceValidity; });
+    return counted;
+}
+
+CrashAttribution::Observations CrashAttribution::evidenceSinceAnswer(const Suspect &suspect, Instant until, CommonCause commonCause) const
 {
     Observations counted;
     for (const auto &[incarnation, observation] : suspect.observations) {
         const bool isCleared = suspect.answeredAt && observation.crashedAt <= *suspect.answeredAt;
         const bool isExplained = !suspect.isConvicted() && explained_.contains(incarnation);
-        if (!isCleared && !isExplained && observation.learnedAt <= until && !hasCommonCause(suspect, observation)) {
+        const bool isDiscarded = commonCause == CommonCause::Discard && hasCommonCause(suspect, observation);
+        if (!isCleared && !isExplained && observation.learnedAt <= until && !isDiscarded) {
             counted.emplace(incarnation, observation);
         }
     }
@@ -219,7 +294,7 @@
     size_t others = 0;
     auto crash = crashesByTime_.lower_bound({observation.crashedAt - options_.commonCauseSpan, {}});
     for (; crash != crashesByTime_.end() && crash->first <= observation.crashedAt + options_.commonCauseSpan; ++crash) {
-        others += suspect.observations.contains(crash->second) ? 0 : 1;
+        others += suspect.observations.contains(crash->second) || explained_.contains(crash->second) ? 0 : 1;
     }
     return others >= options_.commonCauseCrashes;
 }
@@ -253,6 +328,24 @@
     }
 }
 
+std::map<UpstreamIncarnation, std::vector<Fingerprint>> CrashAttribution::repeatedSuspects(Instant until) const
+{
+    std::map<UpstreamIncarnation, std::vector<Fingerprint>> suspects;
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        if (suspect.isConvicted() || suspect.observations.size() < CRASHES_TO_SUSPECT) {
+            continue;
+        }
+        const Observations counted = evidence(suspect, until);
+        if (successiveCrashes(counted) < CRASHES_TO_SUSPECT) {
+            continue;
+        }
+        for (const auto &[incarnation, observation] : counted) {
+            suspects[incarnation].push_back(fingerprint);
+        }
+    }
+    return suspects;
+}
+
 bool CrashAttribution::hasEquallyLikelySuspect(Fingerprint fingerprint, const Observations &observations, Instant until) const
 {
     return std::ranges::any_of(suspects_, [&](const auto &entry) {
@@ -280,6 +373,24 @@
     return suspects_[fingerprint];
 }
 
+void CrashAttribution::rememberAnswer(Fingerprint fingerprint, Instant answeredAt)
+{
+    const auto [known, isNew] = answered_.try_emplace(fingerprint, answeredAt);
+    // The second entry of a frequent answer would be outdated at once, so it is recorded again only after part of the validity.
+    if (!isNew && answeredAt - known->second < options_.clearanceValidity / ANSWERS_PER_VALIDITY) {
+        return;
+    }
+    known->second = answeredAt;
+    answers_.emplace_back(answeredAt, fingerprint);
+    while (answered_.size() > options_.maxAnswered) {
+        const auto [at, oldest] = answers_.front();
+        answers_.pop_front();
+        if (const auto entry = answered_.find(oldest); entry != answered_.end() && entry->second == at) {
+            answered_.erase(entry);
+        }
+    }
+}
+
 void CrashAttribution::recordObservation(Fingerprint fingerprint, const UpstreamIncarnation &incarnation, const Observation &observation)
 {
     Suspect &suspect = suspectOf(fingerprint);
@@ -290,6 +401,11 @@
         recordCrash(incarnation, observation.crashedAt);
         return;
     }
+    // Other entries need an earlier answer only if they suspect the request or part.
+    if (const auto answered = answered_.find(fingerprint); answered != answered_.end()) {
+        suspect.answeredAt = std::max(suspect.answeredAt.value_or(answered->second), answered->second);
+        suspect.answerLearnedAt = observation.learnedAt;
+    }
     if (suspect.observations.size() >= MAX_OBSERVATIONS) {
         const auto earliest = std::ranges::min_element(suspect.observations, {}, [](const auto &entry) { return entry.second.crashedAt; });
         if (earliest->second.crashedAt >= observation.crashedAt) {
@@ -312,6 +428,13 @@
             suspect.answeredAt.reset();
         }
     }
+    while (!answers_.empty() && now - answers_.front().first >= options_.clearanceValidity) {
+        const auto [at, oldest] = answers_.front();
+        answers_.pop_front();
+        if (const auto entry = answered_.find(oldest); entry != answered_.end() && entry->second == at) {
+            answered_.erase(entry);
+        }
+    }
     while (!crashesByTime_.empty() && now - crashesByTime_.begin()->first >= options_.retention) {
         crashes_.erase(crashesByTime_.begin()->second);
         crashesByTime_.erase(crashesByTime_.begin());
--- a/src/crashattribution/internal/crashtypes.cpp
+++ b/src/crashattribution/internal/crashtypes.cpp
@@ -21,6 +21,11 @@
     return hash;
 }
 
+Fingerprint fingerprintOfPart(std::string_view service, std::string_view part)
+{
+    return framework::hash64(part, framework::hash64(service, framework::hash64("prompt part")));
+}
+
 std::string toText(Fingerprint fingerprint)
 {
     std::array<char, 17> text{};
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,6 +34,7 @@
     std::span<const std::string> tried; ///< Upstreams already attempted for this request.
     bool allowAvoided = false; ///< Use a temporarily avoided or silent upstream if no other is available.
     std::span<const std::string> silent = {}; ///< Upstreams that do not respond at present.
+    std::optional<uint64_t> trialKey = std::nullopt; ///< If set, only the upstream is used that all entries select for this key.
 };
 
 struct Placement
@@ -170,6 +171,8 @@
     void allocateEngineSlots();
     /// Reserves the slots of the engines of one zone for the entries of that zone.
     void allocateZoneSlots(std::string_view service, std::span<const ServingEntry> entries, std::span<State *const> engines);
+    /// Returns the id of the upstream for the trials of @p key. Empty if none accepts requests.
+    std::string_view trialUpstream(std::string_view service, uint64_t key, Instant now) const;
     /// True if @p state should get requests only if no other upstream is available.
     static bool isAvoided(const State &state, const PlacementRequest &request, Instant now);
     bool isEligible(State &state, const PlacementRequest &request, Instant now);
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -92,9 +92,27 @@
     entries_ = std::max(1, entries);
 }
 
+std::string_view Dispatcher::trialUpstream(std::string_view service, uint64_t key, Instant now) const
+{
+    std::string_view chosen;
+    uint64_t highest = 0;
+    for (const auto &[id, state] : states_) {
+        if (!state.usable || state.upstream.service != service || now < state.pausedUntil) {
+            continue;
+        }
+        const uint64_t rank = framework::hash64(id, key);
+        if (chosen.empty() || rank > highest) {
+            chosen = id;
+            highest = rank;
+        }
+    }
+    return chosen;
+}
+
 PlacementDecision Dispatcher::place(const PlacementRequest &request, Instant now)
 {
-    if (servingEntries_.size() >= MIN_ENTRIES_TO_RESERVE_SLOTS && engineServices_.contains(request.service)) {
+    const std::string_view trialUpstreamId = request.trialKey ? trialUpstream(request.service, *request.trialKey, now) : std::string_view{};
+    if (!request.trialKey && servingEntries_.size() >= MIN_ENTRIES_TO_RESERVE_SLOTS && engineServices_.contains(request.service)) {
         if (State *engine = chooseEngine(request, now)) {
             return makePlacement(*engine, now);
         }
@@ -118,6 +136,9 @@
         if (!state.usable || state.upstream.service != request.service || std::ranges::find(request.tried, id) != request.tried.end()) {
             continue;
         }
+        if (request.trialKey && id != trialUpstreamId) {
+            continue;
+        }
         known = true;
         if (now < state.pausedUntil) {
             paused = true;
--- a/src/framework/resultcode.cpp
+++ b/src/framework/resultcode.cpp
@@ -36,6 +36,7 @@
     ResultCodeInfo{ResultCode::ConfigurationStale, "ConfigurationStale", 503, "The process has been cut off from configuration changes too long."},
     ResultCodeInfo{ResultCode::UpstreamUnreachable, "UpstreamUnreachable", 503, "No connection to the upstream could be made."},
     ResultCodeInfo{ResultCode::IncarnationChanged, "IncarnationChanged", 503, "The request was addressed to an earlier process of the upstream."},
+    ResultCodeInfo{ResultCode::AwaitingTrial, "AwaitingTrial", 503, "The request may crash upstreams and is tried only now and then until one answers."},
     ResultCodeInfo{ResultCode::OutcomeUnknown, "OutcomeUnknown", 502, "The request may have run; it is not run again."},
     ResultCodeInfo{ResultCode::AnswerTruncated, "AnswerTruncated", 502, "The answer broke off and could not be resumed."},
     ResultCodeInfo{ResultCode::UpstreamFailed, "UpstreamFailed", 502, "The upstream failed while it ran the request."},
--- a/src/framework/resultcode.h
+++ b/src/framework/resultcode.h
@@ -38,6 +38,7 @@
     ConfigurationStale = 214,
     UpstreamUnreachable = 215,
     IncarnationChanged = 216,
+    AwaitingTrial = 217,
 
     OutcomeUnknown = 301,
     AnswerTruncated = 302,
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -7,6 +7,7 @@
 #include "transport/connection.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,14 +16,23 @@
 
 struct GatewayContext;
 
+/// Result of connecting to an upstream that closed connections prematurely.
+enum class ProbeResult : uint8_t {
+    Pending,
+    Reachable, ///< It accepts connections.
+    Crashed,
+};
+
 /// A request whose connection the upstream closed before the response was complete.
 struct InterruptedAttempt
 {
-    crashattribution::Fingerprint fingerprint = 0;
+    crashattribution::Fingerprint fingerprint = 0; ///< Of the whole request.
+    std::vector<crashattribution::Fingerprint> partFingerprints; ///< Of the shared parts of its prompt.
     std::string requestId;
     std::string promptParts; ///< Shared parts of its prompt, separated by commas, for the log.
     transport::Instant sentAt{0};
     transport::Instant interruptedAt{0};
+    std::shared_ptr<ProbeResult> probeResult = nullptr; ///< Set by the detector.
 };
 
 class CrashDetector
@@ -32,8 +42,8 @@
 
     /// Called when the connection of @p attempt was closed by an upstream that is not draining and had not answered. Starts a probe,
     /// whose result is known a little later: the upstream has crashed if it refuses connections, or if its registration ends before it
-    /// answers another request.
-    void onAttemptInterrupted(const dispatch::Placement &placement, InterruptedAttempt attempt);
+    /// answers another request. Returns the result of the connection attempt, or null if the upstream is not expected to serve.
+    std::shared_ptr<const ProbeResult> onAttemptInterrupted(const dispatch::Placement &placement, InterruptedAttempt attempt);
     /// Called when the upstream has answered a request sent at @p sentAt.
     void onUpstreamAnswered(const dispatch::Placement &placement, transport::Instant sentAt);
 
@@ -56,6 +66,8 @@
     transport::asio::awaitable<Evidence> probeConnection(const dispatch::Placement &placement);
     transport::asio::awaitable<Evidence> awaitDeregistration(const dispatch::Placement &placement, transport::Instant interruptedAt);
     void onCrash(const crashattribution::UpstreamIncarnation &incarnation, Evidence evidence, const std::vector<InterruptedAttempt> &attempts);
+    /// What may have caused the crash: the parts of the prompt that no answer has cleared, else the request as a whole.
+    std::vector<crashattribution::Fingerprint> suspectsOf(const InterruptedAttempt &attempt, transport::Instant now) const;
 
     GatewayContext &context_;
     std::map<crashattribution::UpstreamIncarnation, PendingProbes> pendingProbes_; ///< An entry exists only while its probes run.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -103,8 +103,23 @@
     void recordEventTimes(Instant now);
     void finishAttempt(Attempt &attempt, AttemptOutcome outcome);
     bool canRetry(AttemptOutcome outcome) const;
-    /// Returns the remaining quarantine time if the request is known to crash upstreams, else an empty value.
+    /// Returns the remaining quarantine time if the request or a part of its prompt is known to crash upstreams, else an empty value.
     std::optional<milliseconds> quarantineTimeLeft(Instant now);
+    /// Returns the limit on trials of the request or of a part of its prompt, whichever was in flight at more crashes.
+    std::optional<crashattribution::TrialLimit> trialLimit(Instant now) const;
+    /// Waits briefly until the request is cleared or may be tried at this gateway. Returns an empty value then, else the Retry-After time.
+    transport::asio::awaitable<std::optional<milliseconds>> waitForTrial();
+    /// True if this gateway is among the @p entries that may try @p suspect.
+    bool mayTry(crashattribution::Fingerprint suspect, size_t entries, Instant now) const;
+    void endTrial();
+    bool isCleared(Instant now) const;
+    /// After the upstream has closed the connection: returns true if the request may be sent to another upstream. If the upstream has
+    /// crashed, a prompt with uncleared parts is not, unless an answer clears them.
+    transport::asio::awaitable<bool> mayRetryAfterInterruption();
+    /// An answer, or a stream that goes on, shows that neither the request nor the parts of its prompt crash upstreams.
+    void clearSuspicion(const Attempt &attempt, Instant now, bool includingParts);
+    /// Clears the request once its stream has outlived the time in which upstreams crash.
+    void clearIfOutlived(const Attempt &attempt, Instant now);
     /// What the request tells about its end.
     dispatch::RequestLength length(Instant now) const;
     /// If this gateway shuts down before the request would end, returns when the caller should try another gateway.
@@ -135,6 +150,10 @@
     std::string organisation_;
     std::optional<int> priority_;
     crashattribution::Fingerprint fingerprint_ = 0; ///< Identical when the caller sends the same request again.
+    std::vector<crashattribution::Fingerprint> partFingerprints_; ///< Of the shared parts of the prompt, in order.
+    std::optional<crashattribution::Fingerprint> trial_; ///< Suspect that this request is a trial of.
+    std::shared_ptr<const ProbeResult> probeResult_; ///< Of the upstream that closed the connection of the last attempt; null if none did.
+    bool outlivedCrashes_ = false; ///< The stream has gone on for so long that it does not crash upstreams.
     Instant callerDeadline_{0}; ///< When the caller stops waiting for the response.
     Instant deadline_{0}; ///< The earlier of the caller's deadline and the route's timeout.
     std::vector<std::string> triedUpstreams_;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 
 namespace daisymount::gateway
 {
@@ -51,6 +52,9 @@
     std::function<void(crashattribution::Fingerprint)> onConvictionLifted
         = [](crashattribution::Fingerprint) {}; ///< Called when an upstream's response ends a conviction.
 
+    std::function<void()> onCrashRecorded = [] {}; ///< Called when this gateway has found that an upstream crashed.
+
+    std::set<crashattribution::Fingerprint> trials; ///< Suspects that this gateway is trying at an upstream.
     bool draining = false; ///< Set by SIGTERM: the gateway reports not ready and closes each connection after its response.
     Instant drainingSince{0};
     Instant exitAt = Instant::max(); ///< When responses that are not complete are cut off.
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -13,10 +13,6 @@
 {
 using framework::ResultCode;
 
-/// A request that has delivered events for this long is not suspected when its upstream crashes: requests that crash an upstream do so as they
-/// start to run.
-constexpr milliseconds STARTUP_CRASH_WINDOW{1'000};
-
 std::string_view toString(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -129,31 +125,6 @@
     }
 }
 
-void Exchange::recordCrashEvidence(const Attempt &attempt, AttemptOutcome outcome, Instant now)
-{
-    if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::FailureAnswer) {
-        const bool wasConvicted = context_.crashes.status(fingerprint_, now) == crashattribution::CrashStatus::Convicted;
-        if (wasConvicted) {
-            context_.onConvictionLifted(fingerprint_);
-        }
-        if (context_.crashes.onAnswered(fingerprint_, now)) {
-            context_.metrics.onCrashEvent("cleared");
-            context_.log.report({"crashes",
-                                 "cleared",
-                                 ResultCode::Ok,
-                                 request_.headers.requestId,
-                                 {{"fingerprint", crashattribution::toText(fingerprint_)}, {"upstream", attempt.placement.upstream}}});
-        }
-        return;
-    }
-    const bool connectionBroken = outcome == AttemptOutcome::MayHaveRun && attempt.pooled.connection
-        && attempt.pooled.connection->readEnd() != transport::ReadEnd::Open && !attempt.reader.done();
-    const bool outlivedCrashWindow = attempt.firstEventAt != Instant{0} && now - attempt.firstEventAt >= STARTUP_CRASH_WINDOW;
-    if (connectionBroken && !outlivedCrashWindow) {
-        context_.crashDetector.onAttemptInterrupted(attempt.placement, {fingerprint_, request_.headers.requestId, promptPartsText(), attempt.startedAt, now});
-    }
-}
-
 std::string Exchange::promptPartsText() const
 {
     return boost::algorithm::join(request_.headers.sharedPromptParts, ",");
--- a/src/gateway/internal/crashwatch.cpp
+++ b/src/gateway/internal/crashwatch.cpp
@@ -29,17 +29,20 @@
 CrashDetector::CrashDetector(GatewayContext &context) : context_(context)
 { }
 
-void CrashDetector::onAttemptInterrupted(const dispatch::Placement &placement, InterruptedAttempt attempt)
+std::shared_ptr<const ProbeResult> CrashDetector::onAttemptInterrupted(const dispatch::Placement &placement, InterruptedAttempt attempt)
 {
     if (!context_.dispatcher.isServing(placement.upstream, placement.bornMs)) {
-        return;
+        return nullptr;
     }
+    attempt.probeResult = std::make_shared<ProbeResult>(ProbeResult::Pending);
+    std::shared_ptr<const ProbeResult> result = attempt.probeResult;
     PendingProbes &pending = pendingProbes_[{placement.upstream, placement.bornMs}];
     pending.unprobedAttempts.push_back(std::move(attempt));
     if (pending.unprobedAttempts.size() == 1) {
         ++pending.activeProbes;
         asio::co_spawn(context_.executor, probe(placement), asio::detached);
     }
+    return result;
 }
 
 void CrashDetector::onUpstreamAnswered(const dispatch::Placement &placement, transport::Instant sentAt)
@@ -60,6 +63,9 @@
     const std::vector<InterruptedAttempt> attempts = std::move(pendingProbes_[incarnation].unprobedAttempts);
     pendingProbes_[incarnation].unprobedAttempts.clear();
     Evidence evidence = co_await probeConnection(placement);
+    for (const InterruptedAttempt &attempt : attempts) {
+        *attempt.probeResult = evidence == Evidence::None ? ProbeResult::Reachable : ProbeResult::Crashed;
+    }
     if (evidence == Evidence::None) {
         evidence = co_await awaitDeregistration(placement, attempts.back().interruptedAt);
     }
@@ -114,19 +120,37 @@
                           {"requests", std::to_string(attempts.size())},
                           {"age_ms", std::to_string(toMilliseconds(now - attempts.front().interruptedAt).count())}}});
     for (const InterruptedAttempt &attempt : attempts) {
-        context_.crashes.onCrash(attempt.fingerprint, incarnation, attempt.sentAt, attempt.interruptedAt, now);
-        context_.metrics.onCrashEvent("suspected");
-        context_.log.report({"crashes",
-                             "suspected",
-                             ResultCode::UpstreamFailed,
-                             attempt.requestId,
-                             {{"fingerprint", crashattribution::toText(attempt.fingerprint)},
-                              {"prompt_parts", attempt.promptParts},
-                              {"upstream", incarnation.upstream},
-                              {"born_ms", std::to_string(incarnation.bornMs)},
-                              {"under_way_ms", std::to_string(toMilliseconds(attempt.interruptedAt - attempt.sentAt).count())},
-                              {"crashes", std::to_string(context_.crashes.crashes(attempt.fingerprint, now))}}});
+        for (const crashattribution::Fingerprint suspect : suspectsOf(attempt, now)) {
+            context_.crashes.onCrash(suspect, incarnation, attempt.sentAt, attempt.interruptedAt, now);
+            context_.metrics.onCrashEvent("suspected");
+            context_.log.report({"crashes",
+                                 "suspected",
+                                 ResultCode::UpstreamFailed,
+                                 attempt.requestId,
+                                 {{"fingerprint", crashattribution::toText(suspect)},
+                                  {"of", suspect == attempt.fingerprint ? "request" : "prompt_part"},
+                                  {"prompt_parts", attempt.promptParts},
+                                  {"upstream", incarnation.upstream},
+                                  {"born_ms", std::to_string(incarnation.bornMs)},
+                                  {"under_way_ms", std::to_string(toMilliseconds(attempt.interruptedAt - attempt.sentAt).count())},
+                                  {"crashes", std::to_string(context_.crashes.crashes(suspect, now))}}});
+        }
+    }
+    context_.onCrashRecorded();
+}
+
+std::vector<crashattribution::Fingerprint> CrashDetector::suspectsOf(const InterruptedAttempt &attempt, transport::Instant now) const
+{
+    std::vector<crashattribution::Fingerprint> suspects;
+    for (const crashattribution::Fingerprint part : attempt.partFingerprints) {
+        if (!context_.crashes.isCleared(part, now)) {
+            suspects.push_back(part);
+        }
+    }
+    if (suspects.empty()) {
+        suspects.push_back(attempt.fingerprint);
     }
+    return suspects;
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -62,6 +62,7 @@
 Exchange::~Exchange()
 {
     caller_->onReadEnd = nullptr;
+    endTrial();
     --context_.activeRequests;
 }
 
@@ -87,6 +88,9 @@
     }
     fingerprint_ = crashattribution::fingerprintOf({request_.method, request_.host, request_.target, organisation_, request_.body});
     service_ = chooseService();
+    for (const std::string &part : request_.headers.sharedPromptParts) {
+        partFingerprints_.push_back(crashattribution::fingerprintOfPart(service_, part));
+    }
     const milliseconds defaultTimeout = route.kind == fleet::RequestKind::Stream ? MAX_STREAM_DURATION : DEFAULT_DEADLINE;
     const milliseconds timeout = request_.headers.deadline.value_or(route.timeout.count() > 0 ? route.timeout : defaultTimeout);
     callerDeadline_ = request_.receivedAt + timeout;
@@ -169,6 +173,9 @@
     if (const std::optional<milliseconds> delay = retryDelayBeforeExit(framework::monotonicNow())) {
         co_return co_await sendRefusal(ResultCode::Draining, *delay);
     }
+    if (const std::optional<milliseconds> delay = co_await waitForTrial()) {
+        co_return co_await sendRefusal(ResultCode::AwaitingTrial, *delay);
+    }
     if (context_.dispatcher.hasEngines(service_)) {
         const std::optional<milliseconds> timeLeft = co_await waitForEngineSlot();
         if (timeLeft) {
@@ -195,6 +202,13 @@
             minRetryAfter = *timeLeft;
             break;
         }
+        // The request may have become a suspect while it waited.
+        const std::optional<milliseconds> trialDelay = sendCount == 0 ? co_await waitForTrial() : std::nullopt;
+        if (trialDelay) {
+            lastCode = ResultCode::AwaitingTrial;
+            minRetryAfter = *trialDelay;
+            break;
+        }
         // Draining may have begun while the request waited or was tried. A stream under way is continued for as long as possible.
         const std::optional<milliseconds> delayBeforeExit = mayHaveRun_ || relay_.started() ? std::nullopt : retryDelayBeforeExit(now);
         if (delayBeforeExit) {
@@ -203,7 +217,7 @@
             break;
         }
         const std::vector<std::string> silent = context_.silenceDetector.silentUpstreams(service_, now);
-        auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0, silent}, now);
+        auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0, silent, trial_}, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sendCount == 0 ? refusal->code : ResultCode::UpstreamFull;
             minRetryAfter = refusal->retryAfter;
@@ -229,6 +243,9 @@
         if (!canRetry(last) || sendCount >= match_.route->maxAttempts) {
             break;
         }
+        if (last == AttemptOutcome::MayHaveRun && !co_await mayRetryAfterInterruption()) {
+            break;
+        }
     }
     if (firstSentAt_ != Instant{0}) {
         context_.completionTimes.onEnded(match_.route->name, firstSentAt_, last == AttemptOutcome::Answered, framework::monotonicNow());
@@ -239,29 +256,12 @@
     }
     if (last == AttemptOutcome::NotRun && !relay_.started() && !failureResponse_ && !mayHaveRun_) {
         const Duration left = callerDeadline_ - framework::monotonicNow();
-        const bool elsewhere = lastCode == ResultCode::Draining;
+        const bool elsewhere = lastCode == ResultCode::Draining || lastCode == ResultCode::AwaitingTrial;
         co_return co_await sendRefusal(lastCode, elsewhere ? minRetryAfter : std::max(minRetryAfter, context_.retryDelay.choose(causeOf(lastCode), left)));
     }
     co_return co_await finishUnsuccessful(last);
 }
 
-std::optional<milliseconds> Exchange::quarantineTimeLeft(Instant now)
-{
-    if (context_.crashes.status(fingerprint_, now) != crashattribution::CrashStatus::Convicted) {
-        return std::nullopt;
-    }
-    const milliseconds timeLeft = context_.crashes.remainingRejection(fingerprint_, now);
-    context_.metrics.onCrashEvent("refused");
-    context_.log.report({"crashes",
-                         "refused",
-                         ResultCode::Quarantined,
-                         request_.headers.requestId,
-                         {{"fingerprint", crashattribution::toText(fingerprint_)},
-                          {"attempts", std::to_string(triedUpstreams_.size())},
-                          {"retry_after_ms", std::to_string(timeLeft.count())}}});
-    return timeLeft;
-}
-
 dispatch::RequestLength Exchange::length(Instant now) const
 {
     const fleet::Route &route = *match_.route;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -369,6 +369,7 @@
         attempt.lastProgressAt = now;
         recordProgress(attempt, now);
         attempt.firstEventAt = attempt.firstEventAt == Instant{0} ? now : attempt.firstEventAt;
+        clearIfOutlived(attempt, now);
     }
     if (ready.empty()) {
         co_return true;
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -39,6 +39,7 @@
 
 void PeerLink::start()
 {
+    context_.onCrashRecorded = [this] { broadcastCrashUpdate(context_.peers.targets(framework::monotonicNow())); };
     asio::co_spawn(context_.executor, sendLoop(), asio::detached);
     asio::co_spawn(context_.executor, receiveLoop(), asio::detached);
     const auto endpoint = transport::parseEndpoint(context_.settings.ip + ":" + std::to_string(context_.settings.firstPeerPort));
@@ -65,7 +66,12 @@
     heartbeat.leaving = context_.dispatcher.leavingToAnnounce(now);
     const std::vector<std::string> targets = context_.peers.targets(now);
     send(peers::encodeHeartbeat(heartbeat), targets);
-    const crashattribution::CrashUpdate update = context_.crashes.nextUpdate(now);
+    broadcastCrashUpdate(targets);
+}
+
+void PeerLink::broadcastCrashUpdate(std::span<const std::string> targets)
+{
+    const crashattribution::CrashUpdate update = context_.crashes.nextUpdate(framework::monotonicNow());
     if (!update.empty()) {
         send(peers::encodeCrashUpdate(update), targets);
     }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -23,6 +23,7 @@
     void broadcastHeartbeat();
 
 private:
+    void broadcastCrashUpdate(std::span<const std::string> targets);
     void send(std::string_view message, std::span<const std::string> targets);
     void mergeCrashUpdate(const crashattribution::CrashUpdate &update, std::string_view from, Instant now);
     void convictCrashingRequests(Instant now);
