Odd entries of other writers neither end a gateway nor hide other upstreams

What callers would see: a gateway that reads one entry with a number out of range ends, and again after each start, so that nothing is answered there.

Cause: JsonCpp's conversions throw for integers beyond int64_t and for members of a value that is no object; isIntegral() admits both. Nothing between the decoders and main catches. Doubles out of range were cast to integers, which is undefined, and wide integers cut to 32 bits.

Deep nesting and 1e999 were refused before and still are.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -83,6 +83,9 @@
     const StoredItem &configItem() const;
     const Snapshot &upstreamItems() const;
 
+    /// Called once for each entry of the upstreams that cannot be decoded, until the entry is valid or gone. Such an entry names no upstream.
+    std::function<void(const StoredItem &)> onMalformedUpstream = [](const StoredItem &) {};
+
     /// Running servers renew registrations that lapsed during a store outage within about two seconds.
     static constexpr Duration LAPSED_GRACE = milliseconds{2'200};
 
@@ -97,6 +100,7 @@
     int64_t zonesRevision_ = -1; ///< Never decreases.
     Snapshot upstreamItems_; ///< Its revision never decreases.
     std::map<std::string, KnownUpstream, std::less<>> upstreams_; ///< By id.
+    std::map<std::string, int64_t, std::less<>> malformedUpstreams_; ///< Revision by id.
     Instant lapsedGraceUntil_{0}; ///< Missing upstreams are kept until this time.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< Longest prefix first.
     std::unordered_map<std::string, const Organisation *> organisationByKey_;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -50,11 +50,20 @@
             known->second.missingSince = Instant{0};
             continue;
         }
+        const auto malformed = malformedUpstreams_.find(item.key);
+        if (malformed != malformedUpstreams_.end() && malformed->second == item.revision) {
+            continue;
+        }
         std::optional<Upstream> decoded = decoder_.upstream(item.key, item.value);
         if (!decoded) {
             upstreams_.erase(item.key);
+            if (malformed == malformedUpstreams_.end()) {
+                onMalformedUpstream(item);
+            }
+            malformedUpstreams_.insert_or_assign(item.key, item.revision);
             continue;
         }
+        malformedUpstreams_.erase(item.key);
         const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
         upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}});
     }
@@ -70,6 +79,7 @@
             entry = upstreams_.erase(entry);
         }
     }
+    std::erase_if(malformedUpstreams_, [&](const auto &entry) { return !registeredIds.contains(entry.first); });
     removeSuperseded();
 }
 
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -132,6 +132,22 @@
     CHECK(view.upstreams().empty());
 }
 
+TEST(FleetView, malformedRegistrationIsReportedOnceAndHidesNoOther)
+{
+    int reported = 0;
+    view.onMalformedUpstream = [&](const StoredItem &item) { reported += item.key == "odd" ? 1 : 100; };
+    for (int64_t revision = 10; revision < 20; ++revision) {
+        upstreams(revision, {{"a", "ready", 1}, {"odd", "bad", revision / 2}, {"b", "ready", 1}});
+        LONGS_EQUAL(2, view.upstreams().size());
+    }
+    LONGS_EQUAL(1, reported);
+    upstreams(20, {{"odd", "ready", 20}});
+    CHECK(view.upstreams().contains("odd"));
+    upstreams(21, {{"odd", "bad", 21}});
+    LONGS_EQUAL(2, reported);
+    CHECK(view.upstreams().empty());
+}
+
 TEST(FleetView, newestRegistrationAtAnAddressIsKept)
 {
     upstreams(10, {{"before", "ready@10.0.0.9:1", 9}, {"other", "ready@10.0.0.8:1", 9}});
--- a/src/framework/json.cpp
+++ b/src/framework/json.cpp
@@ -2,6 +2,8 @@
 
 #include "framework/json.h"
 
+#include "framework/boundedinteger.h"
+
 #include <memory>
 
 namespace daisymount::framework
@@ -85,6 +87,23 @@
     return member != nullptr && member->isNumeric() ? member->asDouble() : 0.0;
 }
 
+std::optional<int64_t> toInteger(const Json::Value &value)
+{
+    return value.isInt64() ? std::optional<int64_t>(value.asInt64()) : std::nullopt;
+}
+
+int64_t boundedField(const Json::Value &object, const char *key, int64_t min, int64_t max)
+{
+    return boundedInteger(numberField(object, key), min, max);
+}
+
+const Json::Value &arrayField(const Json::Value &object, const char *key)
+{
+    static const Json::Value empty(Json::arrayValue);
+    const Json::Value *member = memberOf(object, key);
+    return member != nullptr && member->isArray() ? *member : empty;
+}
+
 bool boolField(const Json::Value &object, const char *key)
 {
     const Json::Value *member = memberOf(object, key);
--- a/src/framework/json.h
+++ b/src/framework/json.h
@@ -6,6 +6,7 @@
 
 #include <json/json.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,16 @@
 /// Returns the number at @p key, or 0 if it is missing or has another type.
 double numberField(const Json::Value &object, const char *key);
 
+/// Returns @p value if it is an integer in the range of int64_t. JsonCpp's own conversions throw for larger ones.
+std::optional<int64_t> toInteger(const Json::Value &value);
+
+/// Returns the number at @p key, rounded towards zero and limited to the range from @p min to @p max. Returns 0, limited likewise, if it is
+/// missing or has another type.
+int64_t boundedField(const Json::Value &object, const char *key, int64_t min, int64_t max);
+
+/// Returns the array at @p key, or an empty array if it is missing or has another type.
+const Json::Value &arrayField(const Json::Value &object, const char *key);
+
 /// Returns the boolean at @p key, or false if it is missing or has another type.
 bool boolField(const Json::Value &object, const char *key);
 
--- a/src/gateway/internal/convictionstore.cpp
+++ b/src/gateway/internal/convictionstore.cpp
@@ -42,6 +42,9 @@
 std::optional<crashattribution::Conviction> decode(const platform::StoreItem &item)
 {
     crashattribution::Conviction conviction;
+    if (!item.key.starts_with(KEY_PREFIX)) {
+        return std::nullopt;
+    }
     const std::string_view digits = std::string_view(item.key).substr(KEY_PREFIX.size());
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), conviction.fingerprint, HEX_BASE);
     if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size()) {
@@ -49,7 +52,8 @@
     }
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(json, framework::parseJsonObject(item.value));
-        conviction.age = milliseconds{std::max<int64_t>(0, unixMillis() - framework::intField(json, CONVICTED_AT_FIELD))};
+        const int64_t now = unixMillis();
+        conviction.age = milliseconds{now - framework::boundedField(json, CONVICTED_AT_FIELD, 0, now)};
         return {};
     });
     return read ? std::optional(conviction) : std::nullopt;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -59,6 +59,7 @@
 constexpr milliseconds IDEMPOTENT_MAX_IDLE{60'000};
 constexpr int OK = 200;
 constexpr std::string_view KEEP_ALIVE_TIMEOUT = "timeout=";
+constexpr int64_t MAX_IDLE_LIMIT_S = 3'600;
 
 bool isSuccess(int status)
 {
@@ -80,7 +81,7 @@
     if (start != std::string_view::npos) {
         std::from_chars(value.data() + start + KEEP_ALIVE_TIMEOUT.size(), value.data() + value.size(), seconds);
     }
-    return milliseconds{seconds * 1000};
+    return milliseconds{std::clamp<int64_t>(seconds, 0, MAX_IDLE_LIMIT_S) * 1000};
 }
 
 asio::awaitable<void> writeInBackground(transport::ConnectionPtr connection, std::shared_ptr<const std::string> bytes, std::shared_ptr<bool> done)
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -79,6 +79,13 @@
     , log({settings.name, settings.zone})
     , random(static_cast<unsigned>(seed))
 {
+    view.onMalformedUpstream = [this](const fleet::StoredItem &item) {
+        log.report({"upstreams",
+                    "malformed_entry",
+                    ResultCode::BadMessage,
+                    "",
+                    {{"upstream", item.key}, {"revision", std::to_string(item.revision)}, {"bytes", std::to_string(item.value.size())}}});
+    };
     silenceDetector.onSilenceChanged = [this](std::string_view upstream, bool silent, framework::Duration silence) {
         metrics.onSilenceChange(silent);
         log.report({"upstreams",
--- a/src/peers/internal/heartbeatcodec.cpp
+++ b/src/peers/internal/heartbeatcodec.cpp
@@ -17,10 +17,16 @@
 
 constexpr std::string_view MAGIC = "DH2";
 constexpr uint64_t MAX_ROWS = 256;
+constexpr int64_t MAX_AGE_MS = 24LL * 60 * 60 * 1000;
 constexpr uint64_t SERVING = 1;
 constexpr uint64_t CONTROLS_MAPS = 2;
 constexpr uint64_t WATCHES_STORE = 4;
 
+milliseconds boundedAge(int64_t ageMs)
+{
+    return milliseconds{std::clamp<int64_t>(ageMs, 0, MAX_AGE_MS)};
+}
+
 void writePeer(CompactWriter &writer, const Peer &peer)
 {
     writer.text(peer.name);
@@ -71,7 +77,7 @@
         peer.inFlight.emplace_back(std::move(service), static_cast<int>(count));
     }
     BOOST_LEAF_AUTO(age, reader.signedNumber());
-    peer.storeReadAge = milliseconds{age};
+    peer.storeReadAge = boundedAge(age);
     BOOST_LEAF_ASSIGN(peer.revisions.config, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.zones, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.upstreams, reader.signedNumber());
@@ -110,14 +116,14 @@
     for (uint64_t i = 0; i < others; ++i) {
         BOOST_LEAF_AUTO(peer, readPeer(reader));
         BOOST_LEAF_AUTO(age, reader.signedNumber());
-        heartbeat.others.push_back({std::move(peer), milliseconds{std::max<int64_t>(0, age)}});
+        heartbeat.others.push_back({std::move(peer), boundedAge(age)});
     }
     BOOST_LEAF_AUTO(leaving, reader.number(MAX_ROWS));
     for (uint64_t i = 0; i < leaving; ++i) {
         BOOST_LEAF_AUTO(upstream, reader.text());
         BOOST_LEAF_AUTO(born, reader.signedNumber());
         BOOST_LEAF_AUTO(age, reader.signedNumber());
-        heartbeat.leaving.push_back({std::move(upstream), born, milliseconds{std::max<int64_t>(0, age)}});
+        heartbeat.leaving.push_back({std::move(upstream), born, boundedAge(age)});
     }
     if (!reader.atEnd()) {
         return fail(ResultCode::BadMessage, "trailing bytes after a heartbeat");
--- a/src/peers/internal/peercodec.cpp
+++ b/src/peers/internal/peercodec.cpp
@@ -50,13 +50,13 @@
     BOOST_LEAF_AUTO(json, framework::parseJsonObject(bytes));
     FleetSnapshot snapshot;
     snapshot.config = decodeItem(json["config"]);
-    for (const Json::Value &zone : json["zones"]) {
+    for (const Json::Value &zone : framework::arrayField(json, "zones")) {
         if (zone.isString()) {
             snapshot.zonesOut.insert(zone.asString());
         }
     }
-    snapshot.zonesRevision = json["zones_revision"].isIntegral() ? json["zones_revision"].asInt64() : -1;
-    for (const Json::Value &item : json["upstreams"]) {
+    snapshot.zonesRevision = framework::toInteger(json["zones_revision"]).value_or(-1);
+    for (const Json::Value &item : framework::arrayField(json, "upstreams")) {
         snapshot.upstreams.items.push_back(decodeItem(item));
     }
     snapshot.upstreams.revision = framework::intField(json, "upstreams_revision");
