A gateway that exits answers the requests it has passed on instead of cutting them

What callers saw (report of other operators): in a planned stop in calm, requests that came late in the grace period were passed on and cut without an answer at its end, also ones that may not be repeated.

Cause: a draining gateway passes on what can end in time by the longest recent request of the route. A request that takes longer than all before it is passed on too, and at the end of the grace period the process exited with it. Requests that waited for a slot of an engine were not looked at again.

Evidence: gateway_tests -g GatewayStop, red before: "/safe/x cut with status 0"; one gateway process, requests of 30 ms until 2.8 s after SIGTERM, then some of 6 s of each kind.

Fix: 250 ms before its exit a gateway answers each request of which it has relayed nothing: 502, outcome unknown, if it was passed on, a refusal if it was not. A stream under way can't be completed and is still cut. The test passes; it also checks that no status says "not run" for a request that reached an upstream.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -25,6 +25,7 @@
     CallerGone,
     TimedOut,
     Stalled, ///< Nothing has arrived and the caller's patience is nearly used up; the request may be executed later.
+    GatewayStopping, ///< This gateway is about to exit; the request may be executed later.
 };
 
 class Exchange
@@ -122,6 +123,8 @@
     void clearIfOutlived(const Attempt &attempt, Instant now);
     /// What the request tells about its end.
     dispatch::RequestLength length(Instant now) const;
+    /// Time by which the request must be answered: its deadline or, if nothing has been relayed yet, shortly before this gateway exits.
+    Instant answerLimit() const;
     /// If this gateway shuts down before the request would end, returns when the caller should try another gateway.
     std::optional<milliseconds> retryDelayBeforeExit(Instant now);
     /// Updates crash attribution: a response clears the request, a broken connection makes it a suspect.
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -30,6 +30,8 @@
         return "timed_out";
     case AttemptOutcome::Stalled:
         return "stalled";
+    case AttemptOutcome::GatewayStopping:
+        return "gateway_stopping";
     }
     return "unknown";
 }
@@ -90,10 +92,11 @@
 {
     const Instant now = framework::monotonicNow();
     const bool unreachable = outcome == AttemptOutcome::NotRun && !attempt.headReceived;
+    const bool givenUp = outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled || outcome == AttemptOutcome::GatewayStopping;
     dispatch::AttemptResult result = dispatch::AttemptResult::Failed;
     if (outcome == AttemptOutcome::Answered) {
         result = dispatch::AttemptResult::Served;
-    } else if (outcome == AttemptOutcome::CallerGone || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled) {
+    } else if (outcome == AttemptOutcome::CallerGone || givenUp) {
         result = dispatch::AttemptResult::Abandoned;
     } else if (outcome == AttemptOutcome::NotRun) {
         const bool replaced = attempt.headReceived && attempt.reader.status() == MISDIRECTED_REQUEST;
@@ -108,7 +111,7 @@
         mayHaveRun_ = true;
         events_.discardPartial();
     }
-    if ((outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Stalled) && attempt.pooled.connection) {
+    if (givenUp && attempt.pooled.connection) {
         mayHaveRun_ = true;
     }
     recordCrashEvidence(attempt, outcome, now);
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds MIN_ATTEMPT_TIME{20};
 /// Interval at which a waiting request asks for admission again.
 constexpr milliseconds SLOT_POLL_INTERVAL{12};
+/// Time before its exit at which a gateway answers the requests of which it has relayed nothing yet.
+constexpr milliseconds FINAL_ANSWER_TIME{250};
 /// Retry-After for a request that is refused when its time is over.
 constexpr milliseconds LATE_RETRY_AFTER{300};
 /// Assumed remaining time of a caller whose request states none, for the choice of its Retry-After.
@@ -143,7 +145,7 @@
         view.waited = now - begin;
         view.left = deadline_ - now;
         const dispatch::AdmissionDecision decision = context_.admission.decide(view);
-        if (decision.admission == dispatch::Admission::Admit || load.usable == 0 || callerDisconnected_) {
+        if (decision.admission == dispatch::Admission::Admit || load.usable == 0 || callerDisconnected_ || now >= answerLimit()) {
             co_return std::nullopt;
         }
         if (decision.admission == dispatch::Admission::Refuse) {
@@ -298,6 +300,11 @@
     return delay;
 }
 
+Instant Exchange::answerLimit() const
+{
+    return context_.draining && !relay_.started() ? std::min<Instant>(deadline_, context_.exitAt - FINAL_ANSWER_TIME) : deadline_;
+}
+
 bool Exchange::consumeRetryBudget(Instant now)
 {
     const bool allowed = context_.retryBudget.tryAcquireRetry(service_, now);
@@ -331,6 +338,7 @@
     case AttemptOutcome::CallerGone:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::Stalled:
+    case AttemptOutcome::GatewayStopping:
         return false;
     }
     return false;
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -37,6 +37,7 @@
 /// Fraction of the patience after which a stream without any event is given up, just before its caller would leave.
 constexpr int GIVE_UP_NUMERATOR = 19;
 constexpr int GIVE_UP_DENOMINATOR = 20;
+constexpr milliseconds SHUTDOWN_CHECK_INTERVAL{500};
 /// Interval at which the silence of a stream's upstream is evaluated.
 constexpr milliseconds SILENCE_CHECK_INTERVAL{50};
 /// Maximum size of an error response's body that is passed on to the caller.
@@ -217,6 +218,9 @@
         if (now >= deadline_) {
             co_return AttemptOutcome::TimedOut;
         }
+        if (now >= answerLimit()) {
+            co_return AttemptOutcome::GatewayStopping;
+        }
         if (const std::optional<AttemptOutcome> outcome = abandonUnrelayedBody(attempt, now)) {
             co_return *outcome;
         }
@@ -239,6 +243,8 @@
         if (attempt.silenceId) {
             waitUntil = std::min<Instant>(waitUntil, now + SILENCE_CHECK_INTERVAL);
         }
+        // A shutdown may begin meanwhile.
+        waitUntil = std::min({waitUntil, answerLimit(), Instant(now + SHUTDOWN_CHECK_INTERVAL)});
         co_await upstream.waitForBytes(upstream.receiveBuffer().size(), waitUntil);
     }
 }
--- a/src/gateway/internal/suspectrequest.cpp
+++ b/src/gateway/internal/suspectrequest.cpp
@@ -127,7 +127,7 @@
 asio::awaitable<std::optional<milliseconds>> Exchange::waitForTrial()
 {
     const Instant begin = framework::monotonicNow();
-    const Instant end = std::min(deadline_, begin + CLEARANCE_WAIT);
+    const Instant end = std::min<Instant>(answerLimit(), begin + CLEARANCE_WAIT);
     while (!trial_ && !callerDisconnected_) {
         const Instant now = framework::monotonicNow();
         const std::optional<TrialLimit> limit = trialLimit(now);
@@ -177,7 +177,7 @@
 
 asio::awaitable<bool> Exchange::mayRetryAfterInterruption()
 {
-    const Instant end = std::min(deadline_, framework::monotonicNow() + CLEARANCE_WAIT);
+    const Instant end = std::min<Instant>(answerLimit(), framework::monotonicNow() + CLEARANCE_WAIT);
     while (probeResult_ && *probeResult_ != ProbeResult::Reachable && !isCleared(framework::monotonicNow())) {
         if (framework::monotonicNow() >= end || callerDisconnected_) {
             co_return false;
--- /dev/null
+++ b/src/gateway/tests/lateingrace_tests.cpp
@@ -0,0 +1,153 @@
+// A gateway process is stopped in calm, and requests that take far longer than all before them arrive late in its grace period.
+
+#include "gatewayprocess.h"
+#include "storestandin.h"
+
+#include <memory>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace daisymount;
+using namespace daisymount::gateway;
+using namespace daisymount::gateway::tests;
+
+namespace
+{
+using framework::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *CONFIG = R"({"version":1,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/safe/","kind":"safe","timeout_ms":9000,"target_latency_ms":9000,"priority":2,"service":"plain","max_attempts":2,"public":true},
+ {"name":"unsafe","host":"a.example","prefix":"/unsafe/","kind":"unsafe","timeout_ms":9000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true},
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":9000,"target_latency_ms":2000,"priority":1,"service":"plain","max_attempts":2,"public":true,"resumable":false}],
+ "services":[{"name":"plain","health_path":"/h","max_connections":500,"cold_start_s":0,"cold_per_s":0}],
+ "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":2000},"tenants":[]})";
+
+constexpr milliseconds USUAL_TIME{30};
+constexpr milliseconds SLOW_TIME{6'000};
+constexpr milliseconds REQUEST_INTERVAL{100};
+const std::string SLOW = "slow";
+
+struct SentRequest
+{
+    std::string path;
+    bool ended = false;
+    CallerResult result;
+};
+
+/// Never destroyed, because suspended coroutines refer to it.
+class StopFixture
+{
+public:
+    StopFixture()
+        : store_(reactor_.get_executor()), upstream_(reactor_.get_executor(), [this](transport::ConnectionPtr connection, ReceivedRequest request) {
+            return answerLater(std::move(connection), std::move(request));
+        })
+    {
+        store_.put("op/config", CONFIG);
+        store_.put("servers/u-1",
+                   R"({"service":"plain","address":")" + upstream_.address() + R"(","zone":"z","slots":500,"state":"ready","cold_remaining_ms":0,"born":1})");
+        std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
+        folder_ = ::mkdtemp(pattern.data());
+        gateway = std::make_unique<GatewayProcess>(reactor_, "127.74.0.", 1, store_.address(), freePort(reactor_, "127.74.0.1"), folder_);
+        CHECK_TRUE(gateway->start());
+    }
+
+    void end()
+    {
+        gateway->kill();
+        std::filesystem::remove_all(folder_);
+    }
+
+    void sendFor(milliseconds duration, const std::string &body)
+    {
+        const Instant until = framework::monotonicNow() + duration;
+        while (framework::monotonicNow() < until && !gateway->ended()) {
+            for (const char *path : {"/safe/x", "/unsafe/x", "/stream/x"}) {
+                send(path, body);
+            }
+            reactor_.run_for(REQUEST_INTERVAL);
+        }
+    }
+
+    void run(milliseconds duration)
+    {
+        reactor_.run_for(duration);
+    }
+
+    std::unique_ptr<GatewayProcess> gateway;
+    std::vector<std::shared_ptr<SentRequest>> sent;
+    std::set<std::string> reached; ///< Ids of the requests that an upstream has received.
+
+private:
+    void send(const std::string &path, const std::string &body)
+    {
+        const auto entry = std::make_shared<SentRequest>();
+        entry->path = path;
+        sent.push_back(entry);
+        const std::string bytes = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + std::to_string(sent.size() - 1)
+            + "\r\nX-Deadline-Ms: 9000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto onEnd = [entry](const CallerResult &result) {
+            entry->result = result;
+            entry->ended = true;
+        };
+        asio::co_spawn(reactor_, sendAndReadResponse(reactor_.get_executor(), gateway->endpoint(), bytes, onEnd), asio::detached);
+    }
+
+    asio::awaitable<void> answerLater(transport::ConnectionPtr connection, ReceivedRequest request)
+    {
+        reached.insert(request.field("X-Request-Id"));
+        co_await transport::sleepFor(request.body == SLOW ? SLOW_TIME : USUAL_TIME);
+        co_await tests::send(connection, answer(request, "id: 1\ndata: x\n\n", "Content-Type: text/event-stream\r\n"));
+    }
+
+    asio::io_context reactor_;
+    FakeStore store_;
+    ScriptedUpstream upstream_;
+    std::filesystem::path folder_;
+};
+} // namespace
+
+TEST_GROUP(GatewayStop)
+{
+    StopFixture *fixture = nullptr;
+
+    void setup() override
+    {
+        static auto &fixtures = *new std::vector<StopFixture *>;
+        fixtures.push_back(new StopFixture);
+        fixture = fixtures.back();
+    }
+
+    void teardown() override
+    {
+        fixture->end();
+    }
+};
+
+TEST(GatewayStop, requestPassedOnLateInTheGracePeriodGetsAnAnswer)
+{
+    fixture->sendFor(seconds{4}, "usual");
+    CHECK(fixture->sent.back()->result.status == 200 || fixture->sent[fixture->sent.size() - 10]->result.status == 200);
+    fixture->gateway->terminate();
+    fixture->sendFor(milliseconds{2'800}, "usual");
+    const size_t first = fixture->sent.size();
+    fixture->sendFor(milliseconds{600}, SLOW);
+    fixture->run(seconds{6});
+    CHECK(fixture->gateway->ended());
+    int passedOn = 0;
+    for (size_t i = first; i < fixture->sent.size(); ++i) {
+        const SentRequest &request = *fixture->sent[i];
+        if (!fixture->reached.contains(std::to_string(i))) {
+            CHECK(request.result.status == 0 || request.result.status == 503);
+            continue;
+        }
+        ++passedOn;
+        CHECK_TRUE_TEXT(request.result.complete, (request.path + " cut with status " + std::to_string(request.result.status)).c_str());
+        // The outcome of a request that was passed on is unknown, so the status must not say that it was not executed.
+        CHECK(request.result.status == 200 || request.result.status == 502 || request.result.status == 504);
+    }
+    CHECK(passedOn > 0);
+}
