--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -114,7 +114,7 @@
     /// True if this gateway is among the @p entries that may try @p suspect.
     bool mayTry(crashattribution::Fingerprint suspect, size_t entries, Instant now) const;
     void endTrial();
-    bool isCleared(Instant now) const;
+    bool arePartsCleared(Instant now) const;
     /// After the upstream has closed the connection: returns true if the request may be sent to another upstream. If the upstream has
     /// crashed, a prompt with uncleared parts is not, unless an answer clears them.
     transport::asio::awaitable<bool> mayRetryAfterInterruption();
--- a/src/gateway/internal/suspectrequest.cpp
+++ b/src/gateway/internal/suspectrequest.cpp
@@ -154,7 +154,7 @@
     }
 }
 
-bool Exchange::isCleared(Instant now) const
+bool Exchange::arePartsCleared(Instant now) const
 {
     return std::ranges::all_of(partFingerprints_, [&](Fingerprint part) { return context_.crashes.isCleared(part, now); });
 }
@@ -162,7 +162,7 @@
 asio::awaitable<bool> Exchange::mayRetryAfterInterruption()
 {
     const Instant end = std::min<Instant>(answerLimit(), framework::monotonicNow() + CLEARANCE_WAIT);
-    while (probeResult_ && *probeResult_ != ProbeResult::Reachable && !isCleared(framework::monotonicNow())) {
+    while (probeResult_ && *probeResult_ != ProbeResult::Reachable && !arePartsCleared(framework::monotonicNow())) {
         if (framework::monotonicNow() >= end || callerDisconnected_) {
             co_return false;
         }
