--- a/src/crashattribution/tests/trials_tests.cpp
+++ b/src/crashattribution/tests/trials_tests.cpp
@@ -30,6 +30,7 @@
 constexpr size_t CRASHES_TO_RECOGNISE = 5;
 constexpr size_t MAX_SENDS_AFTER_CONTACT = 3;
 constexpr milliseconds RESTART_TIME{800};
+constexpr milliseconds CUT_TIME{5'000};
 constexpr milliseconds TIME_TO_CRASH{80};
 constexpr milliseconds SOUND_DURATION{200};
 constexpr double LOSS_PROBABILITY = 0.2;
@@ -52,6 +53,7 @@
     double soundPerSecond = 2.0; ///< Requests with each of them.
     bool otherCrashes = false;
     bool restarts = false;
+    bool cuts = false; ///< Groups of entries are cut off from the others for CUT_TIME.
     size_t fanout = 6;
     seconds duration{40};
 };
@@ -63,6 +65,7 @@
     {
         for (size_t i = 0; i < load.entries; ++i) {
             entries_.emplace_back(CrashAttributionOptions{.seed = seed + i});
+            cutUntil_.emplace_back(0);
         }
     }
 
@@ -210,6 +213,20 @@
         }
     }
 
+    bool isCut(size_t entry) const
+    {
+        return now < cutUntil_[entry];
+    }
+
+    /// Counts the request that was sent last, unless its entry has been cut off within the contact bound.
+    void countSend(Fingerprint part)
+    {
+        sends_[part];
+        if (now >= cutUntil_[lastSender_] + CONTACT_BOUND) {
+            sends_[part].push_back(now);
+        }
+    }
+
     /// Sends a request at a random entry, under the limits that the entry knows. Returns true if it reached an upstream.
     bool send(std::vector<Fingerprint> parts, bool crashes)
     {
@@ -217,6 +234,7 @@
             sound_.push_back({now, true});
         }
         const size_t number = random_() % entries_.size();
+        lastSender_ = number;
         const CrashAttribution &entry = entries_[number];
         std::optional<TrialLimit> limit;
         for (const Fingerprint part : parts) {
@@ -260,7 +278,7 @@
     {
         for (Fingerprint part = CRASHING; part < CRASHING + load_.crashing; ++part) {
             if (chance(perTick(load_.crashingPerSecond)) && send({COMMON, part}, true)) {
-                sends_[part].push_back(now);
+                countSend(part);
             }
         }
     }
@@ -287,6 +305,11 @@
                 crash(i);
             }
         }
+        if (load_.cuts && chance(perTick(0.1))) {
+            for (Instant &until : cutUntil_) {
+                until = chance(0.5) ? now + CUT_TIME : until;
+            }
+        }
         if (load_.restarts && chance(perTick(0.1))) {
             entries_[random_() % entries_.size()] = CrashAttribution(CrashAttributionOptions{.seed = random_()});
         }
@@ -298,7 +321,11 @@
         for (size_t i = 0; i < load_.fanout && !update.empty(); ++i) {
             const int copies = (chance(LOSS_PROBABILITY) ? 0 : 1) + (chance(DUPLICATE_PROBABILITY) ? 1 : 0);
             for (int copy = 0; copy < copies; ++copy) {
-                inTransit_.push_back({random_() % entries_.size(), now + TICK * (random_() % (MAX_DELAY_TICKS + 1)), update});
+                const size_t to = random_() % entries_.size();
+                if (isCut(from) != isCut(to)) {
+                    continue;
+                }
+                inTransit_.push_back({to, now + TICK * (random_() % (MAX_DELAY_TICKS + 1)), update});
             }
         }
     }
@@ -338,6 +365,8 @@
     std::vector<CrashAttribution> entries_;
     std::vector<SimulatedUpstream> upstreams_;
     std::vector<Message> inTransit_;
+    std::vector<Instant> cutUntil_; ///< By entry.
+    size_t lastSender_ = 0;
     std::map<Fingerprint, std::vector<Instant>> sends_; ///< Times of requests at upstreams, by crashing part.
     std::map<Fingerprint, std::vector<Instant>> crashes_; ///< Times of crashes, by crashing part.
     std::vector<SoundRequest> sound_;
@@ -378,6 +407,11 @@
     checkSeeds({.otherCrashes = true, .restarts = true}, 200);
 }
 
+TEST(Trials, crashingPartIsRecognisedWhileEntriesAreCutOff)
+{
+    checkSeeds({.entries = 7, .restarts = true, .cuts = true}, 200);
+}
+
 TEST(Trials, severalCrashingPartsAreRecognised)
 {
     for (const size_t crashing : {size_t{2}, size_t{4}, size_t{8}, size_t{16}}) {
