Explain names the prompt part for which a request was refused

daisymountctl explain said "equal requests" for any quarantined request and gave the bare meaning of the code for one that waits for a trial, so that the way from a request's id to the part ended there.

--- a/src/logreport/internal/requestexplanation.cpp
+++ b/src/logreport/internal/requestexplanation.cpp
@@ -62,11 +62,25 @@
     return cause.empty() ? "no upstream was tried" : "tried " + cause;
 }
 
-/// Returns the fingerprint for which the request was quarantined, or an empty string if it was not.
-std::string_view quarantineFingerprint(std::span<const LogRecord> lines)
+/// Returns the line that says for which crashes the request was refused, or nullptr if it was not.
+const LogRecord *crashRefusal(std::span<const LogRecord> lines)
 {
-    const auto refused = std::ranges::find_if(lines, [](const LogRecord &line) { return line.duty == "crashes" && line.event == "refused"; });
-    return refused == lines.end() ? std::string_view() : refused->detail("fingerprint");
+    const auto refused
+        = std::ranges::find_if(lines, [](const LogRecord &line) { return line.duty == "crashes" && (line.event == "refused" || line.event == "held"); });
+    return refused == lines.end() ? nullptr : &*refused;
+}
+
+std::string crashRefusalCause(const LogRecord &refusal)
+{
+    const std::string_view part = refusal.detail("prompt_part");
+    const std::string subject = part.empty() ? "equal requests" : "requests with the prompt part " + std::string(part);
+    const std::string fingerprint = " (fingerprint " + detailOrUnknown(refusal, "fingerprint") + ")";
+    if (refusal.event == "held") {
+        return "refused until the next trial: equal requests or requests with a part of this prompt" + fingerprint + " were under way at "
+            + detailOrUnknown(refusal, "crashes")
+            + " crashes in succession and none has been answered since; the lines suspected, cleared and convicted show the crashes and how it ended";
+    }
+    return "refused: " + subject + fingerprint + " were under way when several upstreams crashed; the lines suspected and convicted name the crashes";
 }
 
 std::string causeOf(std::span<const LogRecord> lines)
@@ -82,9 +96,9 @@
     if (refused != lines.end() && hasCode(answered->code, ResultCode::UpstreamFull)) {
         return refusalCause(*refused);
     }
-    if (const std::string_view fingerprint = quarantineFingerprint(lines); !fingerprint.empty() && hasCode(answered->code, ResultCode::Quarantined)) {
-        return "refused: equal requests (fingerprint " + std::string(fingerprint)
-            + ") were under way when several upstreams crashed; the lines suspected and convicted name the crashes";
+    const LogRecord *refusal = crashRefusal(lines);
+    if (refusal != nullptr && (hasCode(answered->code, ResultCode::Quarantined) || hasCode(answered->code, ResultCode::AwaitingTrial))) {
+        return crashRefusalCause(*refusal);
     }
     if (hasCode(answered->code, ResultCode::Ok)) {
         return "served: first part after " + detailOrUnknown(*answered, "first_ms") + " ms, whole after " + detailOrUnknown(*answered, "ms") + " ms; "
@@ -148,12 +162,13 @@
     const LogRecord &last = explanation.lines.back();
     const std::string_view durationText = last.detail("ms");
     const int64_t durationMs = durationText.empty() ? 0 : std::atoll(std::string(durationText).c_str());
-    const std::string_view fingerprint = quarantineFingerprint(explanation.lines);
+    const LogRecord *refusal = crashRefusal(explanation.lines);
+    const std::string_view fingerprint = refusal == nullptr ? std::string_view() : refusal->detail("fingerprint");
     const int64_t from = std::min(explanation.lines.front().timeMs, last.timeMs - durationMs) - LOOKBACK_MS;
     for (const LogRecord &record : records) {
         const bool concurrent = record.timeMs >= from && record.timeMs <= last.timeMs && isStateChange(record);
-        const bool sameFingerprint
-            = !fingerprint.empty() && record.detail("fingerprint") == fingerprint && record.duty == "crashes" && record.event != "refused";
+        const bool sameFingerprint = !fingerprint.empty() && record.detail("fingerprint") == fingerprint && record.duty == "crashes"
+            && record.event != "refused" && record.event != "held";
         if (concurrent || sameFingerprint) {
             explanation.relatedEvents.push_back(record);
         }
--- a/src/logreport/tests/logreport_tests.cpp
+++ b/src/logreport/tests/logreport_tests.cpp
@@ -83,6 +83,22 @@
     STRCMP_EQUAL("convicted", explanation.relatedEvents.back().event.c_str());
 }
 
+TEST(RequestExplanation, requestRefusedForAPromptPartNamesThePart)
+{
+    addLine(
+        R"({"time_ms":1000,"vm":"vm-3","duty":"crashes","event":"suspected","code":303,"request":"x1","fingerprint":"00ef","of":"prompt_part","prompt_parts":"a1,b2"})");
+    addLine(
+        R"({"time_ms":3000,"vm":"vm-1","duty":"crashes","event":"held","code":217,"request":"g7","fingerprint":"00ef","prompt_parts":"a1,b2","crashes":"2"})");
+    addLine(R"({"time_ms":3000,"vm":"vm-1","duty":"forwarding","event":"answered","code":217,"request":"g7","status":"503","ms":"601"})");
+    addLine(R"({"time_ms":9000,"vm":"vm-1","duty":"crashes","event":"refused","code":208,"request":"g8","fingerprint":"00ef","prompt_part":"b2"})");
+    addLine(R"({"time_ms":9000,"vm":"vm-1","duty":"forwarding","event":"answered","code":208,"request":"g8","status":"503","ms":"1"})");
+    CHECK(cause("g8").find("prompt part b2") != std::string::npos);
+    CHECK(cause("g7").find("2 crashes") != std::string::npos);
+    const RequestExplanation explanation = explainRequest(records, "g7");
+    LONGS_EQUAL(1, explanation.relatedEvents.size());
+    STRCMP_EQUAL("suspected", explanation.relatedEvents.front().event.c_str());
+}
+
 TEST(RequestExplanation, distinguishesUnfinishedFromUnknownRequests)
 {
     addLine(R"({"time_ms":1100,"vm":"vm-1","duty":"forwarding","event":"attempt","code":303,"request":"d4","upstream":"u1","end":"not_run","status":"0"})");
