--- a/review/standins/engines.h
+++ b/review/standins/engines.h
@@ -171,6 +171,13 @@
         delayOrder_ = std::move(delay);
     }
 
+    /// @p extra decides whether a second copy of an answer of @p rank comes late, at the point where the next answer is expected.
+    void setExtraAnswers(std::function<bool(int rank)> extra)
+    {
+        const std::lock_guard lock(mutex_);
+        extraAnswer_ = std::move(extra);
+    }
+
     /// When @p rank last carried out a prepare order.
     double preparedRankAt(int rank)
     {
@@ -249,41 +256,65 @@
     void serve(size_t index, Socket &socket)
     {
         Message request;
+        std::string extra; ///< Second copy of the last answer.
         while (socket.read(request, 60'000) == ReadResult::Complete) {
             const std::string expected = request.field("X-Expect-Instance");
             if (!expected.empty() && expected != ranks_[index].id) {
                 socket.write(response(421, "", "X-Instance-Id: " + ranks_[index].id + "\r\n"));
                 continue;
             }
+            if (!extra.empty()) {
+                record_.line("rank " + std::to_string(index) + " sends its last answer once more, before that to " + request.startLine);
+                if (!socket.write(extra)) {
+                    return;
+                }
+                extra.clear();
+            }
             const std::string target = request.target();
-            bool written = true;
+            if (!target.starts_with("/-/")) {
+                if (!stream(index, request, socket)) {
+                    return;
+                }
+                continue;
+            }
+            const std::string requestId = request.field("X-Request-Id");
+            const std::string fields = "Content-Type: application/json\r\n" + (requestId.empty() ? "" : "X-Request-Id: " + requestId + "\r\n");
+            std::string answer;
             if (target == "/-/report") {
-                written = socket.write(response(200, report(index), "Content-Type: application/json\r\n"));
+                answer = response(200, report(index), fields);
             } else if (target.starts_with("/-/picked")) {
-                written = socket.write(response(200, picked(index, target.find("lists") != std::string::npos), "Content-Type: application/json\r\n"));
-            } else if (target == "/-/order") {
-                const Json::Value order = parseJson(request.body);
-                int status = acceptFence(index, order) ? 0 : 412;
-                const std::optional<double> delay = status == 0 ? delayOf(index, order) : std::nullopt;
-                if (delay) {
-                    record_.line("rank " + std::to_string(index) + " leaves unanswered: " + describe(order));
-                    std::thread([this, index, order, ms = *delay] {
-                        sleepMs(ms);
-                        const int status = carryOut(index, order);
-                        record_.line("rank " + std::to_string(index) + " carries out late: " + describe(order) + " -> " + std::to_string(status));
-                    }).detach();
-                    continue;
-                }
-                status = status == 0 ? carryOut(index, order) : status;
-                record_.line("rank " + std::to_string(index) + " " + describe(order) + " -> " + std::to_string(status));
-                written = socket.write(response(status, "{}", "Content-Type: application/json\r\n"));
+                answer = response(200, picked(index, target.find("lists") != std::string::npos), fields);
+            } else if (const std::optional<int> status = takeOrder(index, parseJson(request.body))) {
+                answer = response(*status, "{}", fields);
             } else {
-                written = stream(index, request, socket);
+                continue;
             }
-            if (!written) {
+            if (!socket.write(answer)) {
                 return;
             }
+            if (isExtra(index)) {
+                extra = std::move(answer);
+            }
+        }
+    }
+
+    /// Carries out an order and returns the status of the answer; empty if there is none.
+    std::optional<int> takeOrder(size_t index, const Json::Value &order)
+    {
+        const std::string text = "rank " + std::to_string(index) + " ";
+        int status = acceptFence(index, order) ? 0 : 412;
+        if (const std::optional<double> delay = status == 0 ? delayOf(index, order) : std::nullopt) {
+            record_.line(text + "leaves unanswered: " + describe(order));
+            std::thread([this, text, index, order, ms = *delay] {
+                sleepMs(ms);
+                const int lateStatus = carryOut(index, order);
+                record_.line(text + "carries out late: " + describe(order) + " -> " + std::to_string(lateStatus));
+            }).detach();
+            return std::nullopt;
         }
+        status = status == 0 ? carryOut(index, order) : status;
+        record_.line(text + describe(order) + " -> " + std::to_string(status));
+        return status;
     }
 
     static std::string describe(const Json::Value &order)
@@ -386,6 +417,12 @@
         return most;
     }
 
+    bool isExtra(size_t index)
+    {
+        const std::lock_guard lock(mutex_);
+        return extraAnswer_ && extraAnswer_(static_cast<int>(index));
+    }
+
     std::optional<double> delayOf(size_t index, const Json::Value &order)
     {
         const std::lock_guard lock(mutex_);
@@ -535,6 +572,7 @@
     int switches_ = 0;
     double lastPrepareAt_ = 0;
     DelayOrder delayOrder_;
+    std::function<bool(int rank)> extraAnswer_;
     unsigned topic_ = 1;
     std::minstd_rand random_{7};
 };
