review: case 1, gateways stop following the list of runners

Runners of a plain service crash and come back at their addresses under new ids, one at a time; later another one leaves as planned. With the address sanitizer each gateway ends at the first such return (heap-use-after-free in FleetView::removeSuperseded, fleetview.cpp:94).

--- a/review/standins/smallsite.h
+++ b/review/standins/smallsite.h
@@ -133,8 +133,8 @@
     }
 }
 
-/// Starts all programs and stand-ins. Returns false if that fails.
-inline bool startSite(World &world)
+/// Starts all programs and stand-ins. Returns false if that fails. Without @p withRecordRunners the script brings runners of its own.
+inline bool startSite(World &world, bool withRecordRunners = true)
 {
     Site &site = world.site;
     site.network = "127.83." + std::to_string(10 + ::getpid() % 200) + ".";
@@ -160,7 +160,7 @@
     for (int i = 0; i < RANKS; ++i) {
         store.put("servers/" + group.id(i), group.registration(i, "model", zones[static_cast<size_t>(i) % 3]));
     }
-    for (int i = 0; i < RECORD_RUNNERS; ++i) {
+    for (int i = 0; withRecordRunners && i < RECORD_RUNNERS; ++i) {
         const std::string id = "i-record" + std::to_string(i);
         const auto *runner = new PlainRunner(site.network + std::to_string(50 + i), id, 250, 6, world.arrivals);
         store.put("servers/" + id,
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -88,6 +88,12 @@
         write(key, encodeBase64(value), 0);
     }
 
+    void remove(const std::string &key)
+    {
+        const std::lock_guard lock(mutex_);
+        erase(key);
+    }
+
     /// Value of the last write under a condition whose keys begin with @p prefix.
     std::string lastConditionalWrite(const std::string &prefix)
     {
