--- a/review/standins/extraanswers.cpp
+++ b/review/standins/extraanswers.cpp
@@ -9,7 +9,7 @@
 constexpr double LENGTH_S = 110;
 /// Share of the runners that send some answers twice, and of their answers.
 constexpr double FAULTY_RUNNERS = 0.6;
-constexpr double EXTRA_ANSWERS = 0.05;
+constexpr double EXTRA_ANSWERS = 0.03;
 /// Share of the orders that get no answer, and how much later they are carried out.
 constexpr double UNANSWERED_ORDERS = 0.5;
 constexpr double LATE_MIN_MS = 2'000;
@@ -36,7 +36,7 @@
     std::uniform_real_distribution<double> chance(0, 1);
     while (std::string_view(argv[2]) != "0" && seconds() < LENGTH_S - SPELL_S) {
         record.line("a spell of extra and lost answers begins");
-        world.group->setExtraAnswers([&](int rank) { return rank < FAULTY_RUNNERS * RANKS && chance(random) < EXTRA_ANSWERS; });
+        world.group->setExtraAnswers([&](int rank) { return rank < static_cast<int>(FAULTY_RUNNERS * RANKS) && chance(random) < EXTRA_ANSWERS; });
         world.group->setDelay([&](int, const Json::Value &) -> std::optional<double> {
             return chance(random) < UNANSWERED_ORDERS ? std::optional(LATE_MIN_MS + chance(random) * (LATE_MAX_MS - LATE_MIN_MS)) : std::nullopt;
         });
