fleet: the newest upstream at an address is found after an older one was removed

Callers saw requests sent to upstreams that had said they leave (DRAIN), by all gateways of a site, until these were restarted.

Cause: removeSuperseded() looked up a map keyed by views into entries that it removed meanwhile. From 16 characters on an address lies on the heap, the lookup threw std::out_of_range, and the coroutine that polls the upstreams ended without a word.

Ruled out: other containers keyed by views remove nothing that their keys refer to.

The map owns its keys now.

--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -86,12 +86,12 @@
 void FleetView::removeSuperseded()
 {
     // Ordered by store revision, since the clocks of upstreams may have been set back.
-    std::map<std::string_view, int64_t> newest;
+    std::map<std::string, int64_t, std::less<>> newestRevisions; // By address. Owns its keys, since entries are removed while it is used.
     for (const auto &[id, known] : upstreams_) {
-        int64_t &revision = newest[known.upstream.address];
+        int64_t &revision = newestRevisions[known.upstream.address];
         revision = std::max(revision, known.revision);
     }
-    std::erase_if(upstreams_, [&](const auto &entry) { return entry.second.revision < newest.at(entry.second.upstream.address); });
+    std::erase_if(upstreams_, [&](const auto &entry) { return entry.second.revision < newestRevisions.find(entry.second.upstream.address)->second; });
 }
 
 void FleetView::onStoreRegained(Instant now)
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace daisymount::fleet;
 
 namespace
@@ -175,3 +177,34 @@
     CHECK(view.applyZonesOut({}, 6));
     CHECK_FALSE(view.zoneOut("a"));
 }
+
+// Guards against upstreams that are never updated again after one has come back at its address under a new id: the lookup of the newest entry
+// referred to an entry that had been removed, and threw or found nothing, depending on the length of the address. The address sanitizer reports
+// such a reference for every length.
+TEST(FleetView, newestOfSeveralUpstreamsAtOneAddressIsKeptInAnyOrderOfIdsAndRevisions)
+{
+    const std::vector<std::string> addresses{"10.0.0.9:80", "10.128.101.142:8080", "10.128.101.142:8080 of an address family with longer names"};
+    std::vector<int64_t> revisions{1, 2, 3, 4};
+    int64_t snapshotRevision = 100;
+    do {
+        for (const std::string &address : addresses) {
+            std::vector<StoredItem> items{{"other", "ready@10.128.101.143:8080", 1}};
+            std::string newest;
+            for (size_t i = 0; i < revisions.size(); ++i) {
+                items.push_back({"u" + std::to_string(i), "ready@" + address, revisions[i]});
+                newest = revisions[i] == 4 ? items.back().key : newest;
+            }
+            FleetView fresh{{decodeTestConfig, decodeTestUpstream}};
+            fresh.applyUpstreams({items, ++snapshotRevision}, now);
+            LONGS_EQUAL(2, fresh.upstreams().size());
+            CHECK(fresh.upstreams().contains(newest));
+            CHECK(fresh.upstreams().contains("other"));
+            // A later change reaches the view.
+            items.back().value = "draining@" + address;
+            items.back().revision = 5;
+            fresh.applyUpstreams({items, ++snapshotRevision}, now);
+            CHECK(fresh.upstreams().contains(items.back().key));
+            CHECK(UpstreamState::Draining == fresh.upstreams().at(items.back().key).upstream.state);
+        }
+    } while (std::ranges::next_permutation(revisions).found);
+}
