transport: an exception in a detached coroutine is reported, and loops go on

Callers saw a gateway that said it was ready while it no longer read its list of upstreams; operators saw nothing.

Cause: 26 coroutines were started with asio::detached, which drops the exception that ends them.

Evidence: StoreSync upstreamsAreReadAgainAfterAnExceptionInTheirLoop fails if the polling loop is started the old way ('readings >= 8 failed').

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/peerlink.h"
 #include "gateway/storesync.h"
 #include "transport/httpserver.h"
+#include "transport/tasks.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -27,10 +28,12 @@
     Gateway(const fleet::NodeSettings &settings, SettingsReader reader);
 
     /// Runs the reactor until a graceful shutdown is complete.
-    void run();
+    /// Serves until a shutdown. Returns false if the process shut down because one of its loops failed again and again.
+    bool run();
 
 private:
     void listen();
+    void onTaskFailure(const transport::TaskFailure &failure);
     void watchSignals();
     void onFleetChange();
     transport::ServerResponse directoryPage(const transport::ServerRequest &request);
@@ -52,6 +55,7 @@
     transport::asio::signal_set signals_;
     transport::AcceptorPtr callerAcceptor_;
     bool wasReady_ = false;
+    bool loopFailed_ = false; ///< The process shuts down because one of its loops failed again and again.
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -34,6 +34,8 @@
     /// Records an event of crash attribution. @p event is the name of the log event.
     void onCrashEvent(std::string_view event);
     void onOrder(std::string_view order, std::string_view outcome);
+    /// An exception has ended a task or a loop.
+    void onTaskFailure(std::string_view task);
     void setGauge(std::string_view name, double value);
 
     std::string render() const;
--- a/src/gateway/internal/convictionstore.cpp
+++ b/src/gateway/internal/convictionstore.cpp
@@ -3,9 +3,7 @@
 #include "gateway/convictionstore.h"
 
 #include "framework/json.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 #include <algorithm>
 #include <charconv>
@@ -65,19 +63,19 @@
 
 void ConvictionStore::start()
 {
-    asio::co_spawn(context_.executor, load(), asio::detached);
+    transport::spawnLoop(context_.executor, "load_convictions", [this] { return load(); });
 }
 
 void ConvictionStore::onConvicted(Fingerprint fingerprint)
 {
     if (isDesignatedWriter()) {
-        asio::co_spawn(context_.executor, persist(fingerprint), asio::detached);
+        transport::spawnTask(context_.executor, "persist_conviction", persist(fingerprint));
     }
 }
 
 void ConvictionStore::onConvictionLifted(Fingerprint fingerprint)
 {
-    asio::co_spawn(context_.executor, remove(fingerprint), asio::detached);
+    transport::spawnTask(context_.executor, "remove_conviction", remove(fingerprint));
 }
 
 bool ConvictionStore::isDesignatedWriter() const
--- a/src/gateway/internal/crashwatch.cpp
+++ b/src/gateway/internal/crashwatch.cpp
@@ -4,9 +4,7 @@
 
 #include "gateway/gatewaycontext.h"
 #include "gateway/internal/exchangecommon.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 #include <algorithm>
 
@@ -40,7 +38,9 @@
     pending.unprobedAttempts.push_back(std::move(attempt));
     if (pending.unprobedAttempts.size() == 1) {
         ++pending.activeProbes;
-        asio::co_spawn(context_.executor, probe(placement), asio::detached);
+        transport::spawnTask(context_.executor, "probe_upstream", probe(placement), [this, placement] {
+            pendingProbes_.erase({placement.upstream, placement.bornMs});
+        });
     }
     return result;
 }
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -3,11 +3,10 @@
 #include "gateway/exchange.h"
 
 #include "gateway/internal/exchangecommon.h"
+#include "transport/tasks.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/trim.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -152,7 +151,8 @@
         attempt.requestWritten = std::make_shared<bool>(sent);
     } else {
         attempt.requestWritten = std::make_shared<bool>(false);
-        asio::co_spawn(context_.executor, writeInBackground(attempt.pooled.connection, bytes, attempt.requestWritten), asio::detached);
+        transport::spawnTask(context_.executor, "write_request", writeInBackground(attempt.pooled.connection, bytes, attempt.requestWritten),
+                             [connection = attempt.pooled.connection] { connection->reset(); });
     }
     attempt.bytesSent = upstream.bytesWritten() - before;
     co_return sent;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -7,9 +7,6 @@
 #include "platform/fleetcodec.h"
 #include "platform/headers.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <chrono>
 #include <csignal>
 
@@ -126,8 +123,9 @@
     context_.onConvictionLifted = [this](crashattribution::Fingerprint fingerprint) { convictionStore_.onConvictionLifted(fingerprint); };
 }
 
-void Gateway::run()
+bool Gateway::run()
 {
+    transport::setTaskFailureHandler([this](const transport::TaskFailure &failure) { onTaskFailure(failure); });
     for (const std::string &ip : context_.settings.seedIps) {
         context_.peers.addAddress(ip, framework::monotonicNow());
     }
@@ -137,11 +135,27 @@
     peerLink_.start();
     convictionStore_.start();
     mapController_.start();
-    asio::co_spawn(reactor_, housekeeping(), asio::detached);
+    transport::spawnLoop(context_.executor, "housekeeping", [this] { return housekeeping(); });
     context_.log.report({"process", "started", ResultCode::Ok, "", {{"callers", context_.settings.callerAddress}, {"store", context_.settings.store.address}}});
     reactor_.run();
     context_.log.report({"process", "stopped", ResultCode::Ok, "", {{"active_requests", std::to_string(context_.activeRequests)}}});
     context_.log.flush();
+    return !loopFailed_;
+}
+
+void Gateway::onTaskFailure(const transport::TaskFailure &failure)
+{
+    context_.metrics.onTaskFailure(failure.task);
+    context_.log.report({"process",
+                         failure.isLoop ? "loop_failed" : "task_failed",
+                         ResultCode::Internal,
+                         "",
+                         {{"task", std::string(failure.task)}, {"what", failure.what}, {"exhausted", failure.exhausted ? "yes" : "no"}}});
+    if (failure.exhausted && !context_.draining) {
+        // The platform starts the process again with a fresh state. A gateway without one of its loops must not count as ready.
+        loopFailed_ = true;
+        startDraining(0);
+    }
 }
 
 void Gateway::listen()
@@ -149,7 +163,7 @@
     const auto endpoint = [](const std::string &address) { return transport::parseEndpoint(address).value_or(asio::ip::tcp::endpoint()); };
     const fleet::NodeSettings &settings = context_.settings;
     callerAcceptor_ = transport::listenAt(context_.executor, endpoint(settings.callerAddress), [this](transport::ConnectionPtr connection) {
-        asio::co_spawn(context_.executor, serveCaller(context_, std::move(connection)), asio::detached);
+        transport::spawnTask(context_.executor, "serve_caller", serveCaller(context_, connection), [connection] { connection->reset(); });
     });
     transport::listenAndServe(context_.executor, endpoint(settings.readyAddress), [this](const transport::ServerRequest &) { return readyPage(); });
     transport::listenAndServe(context_.executor, endpoint(settings.directoryAddress),
@@ -247,13 +261,13 @@
         {"process", "draining", ResultCode::Draining, "", {{"signal", std::to_string(signal)}, {"active_requests", std::to_string(context_.activeRequests)}}});
     onFleetChange();
     peerLink_.broadcastHeartbeat();
-    asio::co_spawn(reactor_, drain(), asio::detached);
+    transport::spawnTask(context_.executor, "drain", drain(), [this] { reactor_.stop(); });
 }
 
 asio::awaitable<void> Gateway::drain()
 {
     const Instant addressesExpireAt = context_.drainingSince + ADDRESS_TTL_MULTIPLE * ADDRESS_TTL + milliseconds{500};
-    asio::co_spawn(reactor_, storeSync_.unregister(), asio::detached);
+    transport::spawnTask(context_.executor, "unregister", storeSync_.unregister());
     while (framework::monotonicNow() < context_.exitAt) {
         co_await transport::sleepFor(DRAIN_POLL_INTERVAL);
         const Instant now = framework::monotonicNow();
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -43,6 +43,8 @@
                                                             .Register(registry);
     prometheus::Family<prometheus::Counter> &orders
         = prometheus::BuildCounter().Name("daisymount_rank_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter> &taskFailures
+        = prometheus::BuildCounter().Name("daisymount_task_failures_total").Help("Exceptions that ended a task or a loop, by its name.").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges = prometheus::BuildGauge().Name("daisymount_state").Help("State by name.").Register(registry);
     prometheus::Family<prometheus::Histogram> &firstByteTime
         = prometheus::BuildHistogram().Name("daisymount_first_answer_seconds").Help("Time to the first byte of the answer.").Register(registry);
@@ -103,6 +105,11 @@
     families_->orders.Add({{"order", std::string(order)}, {"outcome", std::string(outcome)}}).Increment();
 }
 
+void GatewayMetrics::onTaskFailure(std::string_view task)
+{
+    families_->taskFailures.Add({{"task", std::string(task)}}).Increment();
+}
+
 void GatewayMetrics::setGauge(std::string_view name, double value)
 {
     families_->gauges.Add({{"name", std::string(name)}}).Set(value);
--- a/src/gateway/internal/mapchange.cpp
+++ b/src/gateway/internal/mapchange.cpp
@@ -3,9 +3,7 @@
 #include "gateway/internal/mapcontrollercommon.h"
 
 #include "platform/enginecodec.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 #include <algorithm>
 
@@ -66,7 +64,14 @@
         return;
     }
     for (const expertmap::SwitchCommand &command : change->tick(now)) {
-        asio::co_spawn(context_.executor, sendCommand(group, change, command), asio::detached);
+        transport::spawnTask(context_.executor, "send_order", sendCommand(group, change, command), [change, command] {
+            const Instant failedAt = framework::monotonicNow();
+            if (command.order) {
+                change->onReply(command, expertmap::OrderOutcome::Unknown, failedAt);
+            } else {
+                change->onReport(command.rank, std::nullopt, failedAt, failedAt);
+            }
+        });
     }
 }
 
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -4,9 +4,7 @@
 
 #include "platform/enginecodec.h"
 #include "platform/headers.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 #include <algorithm>
 
@@ -44,8 +42,8 @@
 
 void MapController::start()
 {
-    asio::co_spawn(context_.executor, lease_.run(), asio::detached);
-    asio::co_spawn(context_.executor, loop(), asio::detached);
+    transport::spawnLoop(context_.executor, "map_lease", [this] { return lease_.run(); });
+    transport::spawnLoop(context_.executor, "map_control", [this] { return loop(); });
 }
 
 asio::awaitable<void> MapController::loop()
@@ -123,8 +121,8 @@
             continue;
         }
         ++reading->outstanding;
-        asio::co_spawn(
-            context_.executor,
+        transport::spawnTask(
+            context_.executor, "read_report",
             [](MapController *self, std::shared_ptr<Reading> into, std::string upstream) -> asio::awaitable<void> {
                 std::optional<expertmap::RankReport> report = co_await self->readReport(upstream);
                 --into->outstanding;
@@ -132,7 +130,7 @@
                     into->reports.emplace_back(std::move(upstream), std::move(*report));
                 }
             }(this, reading, id),
-            asio::detached);
+            [reading] { --reading->outstanding; });
     }
     while (reading->outstanding > 0) {
         co_await transport::sleepFor(LOOP_INTERVAL);
@@ -332,7 +330,10 @@
     if (group->mapUnknown) {
         if (!group->planning) {
             group->planning = true;
-            asio::co_spawn(context_.executor, readMap(group), asio::detached);
+            transport::spawnTask(context_.executor, "read_map", readMap(group), [group] {
+                group->planning = false;
+                group->reportsStale = true;
+            });
         }
         return;
     }
@@ -348,7 +349,7 @@
     if (due && !group->planning && !context_.draining) {
         group->planning = true;
         group->samplesAtPlan = group->samples.totalSamples();
-        asio::co_spawn(context_.executor, plan(group), asio::detached);
+        transport::spawnTask(context_.executor, "plan_map", plan(group), [group] { group->planning = false; });
     }
 }
 
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -3,9 +3,7 @@
 #include "gateway/internal/mapcontrollercommon.h"
 
 #include "platform/enginecodec.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 #include <algorithm>
 #include <cmath>
@@ -107,7 +105,7 @@
         group->timedPass = 0;
     }
     for (const int rank : ranks) {
-        asio::co_spawn(context_.executor, readCounts(group, rank), asio::detached);
+        transport::spawnTask(context_.executor, "read_counts", readCounts(group, rank));
     }
 }
 
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -4,10 +4,9 @@
 
 #include "peers/peercodec.h"
 #include "transport/httpserver.h"
+#include "transport/tasks.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace daisymount::gateway
@@ -40,8 +39,8 @@
 void PeerLink::start()
 {
     context_.onCrashRecorded = [this] { broadcastCrashUpdate(context_.peers.targets(framework::monotonicNow())); };
-    asio::co_spawn(context_.executor, sendLoop(), asio::detached);
-    asio::co_spawn(context_.executor, receiveLoop(), asio::detached);
+    transport::spawnLoop(context_.executor, "send_heartbeats", [this] { return sendLoop(); });
+    transport::spawnLoop(context_.executor, "receive_heartbeats", [this] { return receiveLoop(); });
     const auto endpoint = transport::parseEndpoint(context_.settings.ip + ":" + std::to_string(context_.settings.firstPeerPort));
     transport::listenAndServe(context_.executor, *endpoint, [this](const transport::ServerRequest &request) {
         peers::FleetSnapshot snapshot;
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -5,9 +5,7 @@
 #include "framework/json.h"
 #include "peers/peercodec.h"
 #include "platform/fleetcodec.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "transport/tasks.h"
 
 namespace daisymount::gateway
 {
@@ -50,11 +48,11 @@
 
 void StoreSync::start()
 {
-    asio::co_spawn(context_.executor, watchOperatorKeys(), asio::detached);
-    asio::co_spawn(context_.executor, pollUpstreams(), asio::detached);
-    asio::co_spawn(context_.executor, maintainRegistration(), asio::detached);
-    asio::co_spawn(context_.executor, discoverMembers(), asio::detached);
-    asio::co_spawn(context_.executor, syncFromPeers(), asio::detached);
+    transport::spawnLoop(context_.executor, "watch_operator_keys", [this] { return watchOperatorKeys(); });
+    transport::spawnLoop(context_.executor, "poll_upstreams", [this] { return pollUpstreams(); });
+    transport::spawnLoop(context_.executor, "maintain_registration", [this] { return maintainRegistration(); });
+    transport::spawnLoop(context_.executor, "discover_members", [this] { return discoverMembers(); });
+    transport::spawnLoop(context_.executor, "sync_from_peers", [this] { return syncFromPeers(); });
 }
 
 bool StoreSync::storeReachable() const
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -15,11 +15,13 @@
 constexpr int EXIT_WRONG_ARGUMENTS = 1;
 constexpr int EXIT_INVALID_SETTINGS = 2;
 constexpr int EXIT_CANNOT_START = 3;
+constexpr int EXIT_LOOP_FAILED = 4;
 
-constexpr std::string_view USAGE = "usage: daisymountgateway [--check | --help]\n"
-                                   "Serves callers with the settings file that the environment variable DAISYMOUNT_CONFIG names.\n"
-                                   "  --check  check the settings and exit\n"
-                                   "Exit codes: 0 graceful shutdown or valid settings, 1 wrong arguments, 2 invalid settings, 3 cannot start.\n";
+constexpr std::string_view USAGE
+    = "usage: daisymountgateway [--check | --help]\n"
+      "Serves callers with the settings file that the environment variable DAISYMOUNT_CONFIG names.\n"
+      "  --check  check the settings and exit\n"
+      "Exit codes: 0 graceful shutdown or valid settings, 1 wrong arguments, 2 invalid settings, 3 cannot start, 4 a loop failed again and again.\n";
 
 framework::Result<fleet::NodeSettings> readGatewaySettings()
 {
@@ -54,9 +56,9 @@
     }
     try {
         gateway::Gateway gateway(settings, readGatewaySettings);
-        gateway.run();
+        const bool shutDown = gateway.run();
         // Suspended coroutines hold references to the gateway and its reactor, so no order of destruction is safe: exit without destructors.
-        std::_Exit(0);
+        std::_Exit(shutDown ? 0 : EXIT_LOOP_FAILED);
     } catch (const std::exception &error) {
         std::cerr << "cannot serve: " << error.what() << '\n';
         return EXIT_CANNOT_START;
--- a/src/gateway/tests/storesync_tests.cpp
+++ b/src/gateway/tests/storesync_tests.cpp
@@ -4,10 +4,12 @@
 #include "gatewayfixture.h"
 #include "peers/peercodec.h"
 #include "platform/storecodec.h"
+#include "transport/tasks.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <deque>
+#include <stdexcept>
 
 using namespace daisymount;
 using namespace daisymount::gateway;
@@ -196,6 +198,25 @@
     LONGS_EQUAL(7, fixture.version());
 }
 
+// Guards against a gateway that never reads its upstreams again, since an exception has ended the coroutine that polls them.
+TEST(StoreSync, upstreamsAreReadAgainAfterAnExceptionInTheirLoop)
+{
+    int readings = 0;
+    fixture.sync = std::make_unique<StoreSync>(fixture.world.context, [&readings] {
+        if (++readings == 2) {
+            throw std::out_of_range("map::at");
+        }
+    });
+    std::vector<std::string> failed;
+    transport::setTaskFailureHandler([&failed](const transport::TaskFailure &failure) { failed.push_back(std::string(failure.task) + ": " + failure.what); });
+    fixture.sync->start();
+    fixture.world.runUntil([&] { return readings >= 8; }, std::chrono::seconds{4});
+    transport::setTaskFailureHandler([](const transport::TaskFailure &) {});
+    CHECK(readings >= 8);
+    LONGS_EQUAL(1, failed.size());
+    STRCMP_CONTAINS("map::at", failed.front().c_str());
+}
+
 TEST(StoreSync, registrationIsRetriedAfterLostReplies)
 {
     fixture.store.leases = {Behaviour::Close, Behaviour::Close};
--- a/src/rankagent/main.cpp
+++ b/src/rankagent/main.cpp
@@ -7,9 +7,8 @@
 #include "platform/settings.h"
 #include "transport/httpcaller.h"
 #include "transport/httpserver.h"
+#include "transport/tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -25,6 +24,7 @@
 
 constexpr int EXIT_INVALID_SETTINGS = 2;
 constexpr int EXIT_CANNOT_START = 3;
+constexpr int EXIT_LOOP_FAILED = 4;
 /// Shorter than the controller's time-outs for reports and prepare orders, so that the agent reports the failure before the controller stops waiting.
 constexpr transport::milliseconds ENGINE_TIMEOUT{100};
 constexpr transport::milliseconds LOG_FLUSH_INTERVAL{500};
@@ -89,10 +89,21 @@
     const auto endpoint = transport::parseEndpoint(settings.ip + ":" + std::to_string(settings.firstPeerPort));
     transport::listenAndServeAsync(reactor.get_executor(), endpoint.value_or(asio::ip::tcp::endpoint()),
                                    [&](transport::ServerRequest request) { return relay(engine, settings.engineAddress, request); });
+    transport::setTaskFailureHandler([&](const transport::TaskFailure &failure) {
+        log.report({"process",
+                    failure.isLoop ? "loop_failed" : "task_failed",
+                    ResultCode::Internal,
+                    "",
+                    {{"task", std::string(failure.task)}, {"what", failure.what}, {"exhausted", failure.exhausted ? "yes" : "no"}}});
+        if (failure.exhausted) {
+            log.flush();
+            std::_Exit(EXIT_LOOP_FAILED);
+        }
+    });
     asio::signal_set signals(reactor, SIGTERM, SIGINT, SIGHUP);
     watchSignals(reactor, signals, settings, log);
     log.report({"process", "started", ResultCode::Ok, "", {{"role", "rank_agent"}, {"ip", settings.ip}, {"engine", settings.engineAddress}}});
-    asio::co_spawn(reactor, flushLog(log), asio::detached);
+    transport::spawnLoop(reactor.get_executor(), "flush_log", [&log] { return flushLog(log); });
     reactor.run();
     log.report({"process", "stopped", ResultCode::Ok, "", {}});
     log.flush();
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -2,9 +2,9 @@
 
 #include "transport/httpserver.h"
 
+#include "transport/tasks.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -52,7 +52,7 @@
     acceptor->set_option(asio::socket_base::reuse_address(true));
     acceptor->bind(endpoint);
     acceptor->listen(ACCEPT_BACKLOG);
-    asio::co_spawn(executor, acceptLoop(acceptor, std::move(handler)), asio::detached);
+    spawnLoop(executor, "accept", [acceptor, handler = std::move(handler)] { return acceptLoop(acceptor, handler); });
     return acceptor;
 }
 
@@ -92,7 +92,7 @@
 void listenAndServeAsync(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint, AsyncRequestHandler handler)
 {
     listenAt(executor, endpoint, [executor, handler = std::move(handler)](ConnectionPtr connection) {
-        asio::co_spawn(executor, serveConnection(std::move(connection), handler), asio::detached);
+        spawnTask(executor, "serve_connection", serveConnection(connection, handler), [connection] { connection->reset(); });
     });
 }
 
