dispatch: a request that asks for more than all before it is not expected to end as soon

Callers of a gateway that was stopped got long streams cut at its exit (LOST): sent 3.8 s after SIGTERM, cut at 7.5 s after 54 of 69 events.

Cause: a process older than 15 s judged a request by the longest one seen and ignored the length that the request states.

The longest stated length of recent requests is kept; beyond it the request's own statement and what was seen in proportion count.

--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -23,6 +23,7 @@
     std::string_view route;
     framework::Instant deadline{0};
     std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
+    int64_t statedTokens = 0; ///< Longest answer that the request allows, 0 if it does not state one.
 };
 
 /// What is known of a stream before it begins.
@@ -44,21 +45,25 @@
     /// A request was passed on for the first time.
     void onSent(std::string_view route, framework::Instant now);
     /// Must be called once for each onSent(). @p complete is true if the caller got the whole response of the upstream.
-    void onEnded(std::string_view route, framework::Instant sentAt, bool complete, framework::Instant now);
+    void onEnded(const RequestLength &request, framework::Instant sentAt, bool complete, framework::Instant now);
 
     /// Time within which a request that is passed on now very probably ends; empty if there are no recent observations.
     std::optional<framework::Duration> upperBound(std::string_view route, framework::Instant now) const;
-    /// Time that a request needs at most; empty if nothing is known. A process that has run for some time relies on what it has seen, a younger one
-    /// on that and on what the request states, whichever is longer.
+    /// Time that a request needs at most; empty if nothing is known. A process that has run for some time relies on what it has seen. A younger one, and
+    /// any for a request that states a longer answer than all that it has seen, relies on that and on what the request states, whichever is longer.
     std::optional<framework::Duration> needed(const RequestLength &request, framework::Instant now) const;
     /// True if a request that is passed on now can end before @p end: by needed() or, if nothing is known, by its deadline.
     bool canEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
 
 private:
+    /// Requests that ended within a period.
     struct Observations
     {
         framework::Duration longest{0};
         int count = 0;
+        int64_t longestStatedTokens = 0;
+
+        void merge(const Observations &other);
     };
 
     struct RouteTimes
@@ -70,6 +75,9 @@
         Observations before; ///< The same for the period before.
     };
 
+    /// What ended within the last one or two periods.
+    static Observations recentObservations(const RouteTimes &times, framework::Instant now);
+
     std::map<std::string, RouteTimes, std::less<>> routes_; ///< By name.
 };
 
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -1,4 +1,4 @@
-// Keeps the longest recent time to completion of each route.
+// Keeps the longest recent time to completion of each route, and the longest answer that was asked for.
 
 #include "dispatch/completiontimes.h"
 
@@ -38,9 +38,16 @@
     found->second.sentAt.insert(now);
 }
 
-void CompletionTimes::onEnded(std::string_view route, Instant sentAt, bool complete, Instant now)
+void CompletionTimes::Observations::merge(const Observations &other)
 {
-    const auto found = routes_.find(route);
+    longest = std::max(longest, other.longest);
+    count += other.count;
+    longestStatedTokens = std::max(longestStatedTokens, other.longestStatedTokens);
+}
+
+void CompletionTimes::onEnded(const RequestLength &request, Instant sentAt, bool complete, Instant now)
+{
+    const auto found = routes_.find(request.route);
     if (found == routes_.end()) {
         return;
     }
@@ -57,25 +64,29 @@
         times.current = {};
         times.periodStart = now;
     }
-    times.current.longest = std::max(times.current.longest, now - sentAt);
-    ++times.current.count;
+    times.current.merge({now - sentAt, 1, request.statedTokens});
 }
 
-std::optional<Duration> CompletionTimes::upperBound(std::string_view route, Instant now) const
+CompletionTimes::Observations CompletionTimes::recentObservations(const RouteTimes &times, Instant now)
 {
-    const auto found = routes_.find(route);
-    if (found == routes_.end()) {
-        return std::nullopt;
-    }
-    const RouteTimes &times = found->second;
     Observations recent;
     if (now - times.periodStart < 2 * PERIOD) {
         recent = times.current;
     }
     if (now - times.periodStart < PERIOD) {
-        recent.longest = std::max(recent.longest, times.before.longest);
-        recent.count += times.before.count;
+        recent.merge(times.before);
     }
+    return recent;
+}
+
+std::optional<Duration> CompletionTimes::upperBound(std::string_view route, Instant now) const
+{
+    const auto found = routes_.find(route);
+    if (found == routes_.end()) {
+        return std::nullopt;
+    }
+    const RouteTimes &times = found->second;
+    Observations recent = recentObservations(times, now);
     if (recent.count == 0 || now - times.firstSentAt < MIN_HISTORY_MULTIPLE * recent.longest) {
         return std::nullopt;
     }
@@ -88,12 +99,18 @@
 std::optional<Duration> CompletionTimes::needed(const RequestLength &request, Instant now) const
 {
     const auto found = routes_.find(request.route);
-    const bool knows = found != routes_.end() && now - found->second.firstSentAt >= FULL_HISTORY;
     const std::optional<Duration> seen = upperBound(request.route, now);
-    if (!request.stated || (knows && seen)) {
-        return seen;
+    if (!seen) {
+        return request.stated;
+    }
+    const int64_t seenTokens = recentObservations(found->second, now).longestStatedTokens;
+    const bool longerThanSeen = request.statedTokens > seenTokens;
+    if (longerThanSeen && seenTokens > 0) {
+        const double ratio = static_cast<double>(request.statedTokens) / static_cast<double>(seenTokens);
+        return std::max(request.stated.value_or(Duration{0}), std::chrono::duration_cast<Duration>(*seen * ratio));
     }
-    return std::max(*request.stated, seen.value_or(Duration{0}));
+    const bool knows = now - found->second.firstSentAt >= FULL_HISTORY && !longerThanSeen;
+    return knows ? seen : std::max(*seen, request.stated.value_or(Duration{0}));
 }
 
 bool CompletionTimes::canEndBefore(Instant end, const RequestLength &request, Instant now) const
--- a/src/dispatch/tests/completiontimes_tests.cpp
+++ b/src/dispatch/tests/completiontimes_tests.cpp
@@ -21,7 +21,7 @@
     void play(const char *route, milliseconds duration)
     {
         times.onSent(route, now);
-        times.onEnded(route, now, true, now + duration);
+        times.onEnded({route, now}, now, true, now + duration);
     }
 
     void playMany(const char *route, milliseconds duration)
@@ -77,7 +77,7 @@
     now += seconds{2};
     times.onSent("a", now);
     CHECK(*times.upperBound("a", now + seconds{4}) >= Duration{seconds{4}});
-    times.onEnded("a", now, false, now + seconds{4});
+    times.onEnded({"a", now}, now, false, now + seconds{4});
     CHECK(*times.upperBound("a", now + seconds{4}) < Duration{seconds{1}});
 }
 
@@ -106,7 +106,7 @@
             int cut = 0;
             for (; at < exit; at += milliseconds{25}) {
                 while (!underWay.empty() && underWay.begin()->first <= at) {
-                    seen.onEnded("a", underWay.begin()->second, true, underWay.begin()->first);
+                    seen.onEnded({"a", now}, underWay.begin()->second, true, underWay.begin()->first);
                     underWay.erase(underWay.begin());
                 }
                 if (at >= stop && !seen.canEndBefore(exit, {"a", at + seconds{8}}, at)) {
@@ -146,6 +146,28 @@
     CHECK(*times.needed(request, now) >= Duration{milliseconds{3'600}});
 }
 
+// Guards against a stream that a gateway passes on although it exits before the stream ends, since all streams before it were shorter.
+TEST(CompletionTimes, requestThatStatesALongerAnswerThanAllBeforeIsNotExpectedToEndAsSoon)
+{
+    const auto playStream = [this](int64_t tokens, milliseconds duration) {
+        times.onSent("a", now);
+        times.onEnded({"a", now, {}, tokens}, now, true, now + duration);
+    };
+    for (int i = 0; i < 20'000; ++i) {
+        now += milliseconds{1};
+        playStream(100, milliseconds{1'200});
+    }
+    const RequestLength usual{"a", now + seconds{8}, Duration{milliseconds{1'700}}, 100};
+    const RequestLength longer{"a", now + seconds{8}, Duration{milliseconds{5'600}}, 347};
+    const RequestLength unknownPace{"a", now + seconds{8}, std::nullopt, 347};
+    CHECK(times.canEndBefore(now + milliseconds{3'700}, usual, now));
+    CHECK_FALSE(times.canEndBefore(now + milliseconds{3'700}, longer, now));
+    CHECK_FALSE(times.canEndBefore(now + milliseconds{3'700}, unknownPace, now));
+    // Once such a stream has been seen to its end, its time is known.
+    playStream(347, milliseconds{2'000});
+    CHECK(times.canEndBefore(now + milliseconds{3'700}, longer, now));
+}
+
 TEST(CompletionTimes, streamTakesAPassForTheTokensOfEachEvent)
 {
     StreamLength stream{140, 5, milliseconds{80}, Duration{0}, milliseconds{400}};
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -250,7 +250,8 @@
         }
     }
     if (firstSentAt_ != Instant{0}) {
-        context_.completionTimes.onEnded(match_.route->name, firstSentAt_, last == AttemptOutcome::Answered, framework::monotonicNow());
+        const Instant now = framework::monotonicNow();
+        context_.completionTimes.onEnded(length(now), firstSentAt_, last == AttemptOutcome::Answered, now);
     }
     if (last == AttemptOutcome::Answered) {
         logCompletion(ResultCode::Ok, 200);
@@ -267,12 +268,12 @@
 dispatch::RequestLength Exchange::length(Instant now) const
 {
     const fleet::Route &route = *match_.route;
-    dispatch::RequestLength request{route.name, deadline_};
+    dispatch::RequestLength request{route.name, deadline_, std::nullopt, request_.headers.maxAnswerTokens};
     const auto service = match_.config->services.find(service_);
-    const int64_t tokens = request_.headers.maxAnswerTokens;
-    if (route.kind == fleet::RequestKind::Stream && tokens > 0 && service != match_.config->services.end() && service->second.engine) {
+    if (route.kind == fleet::RequestKind::Stream && request.statedTokens > 0 && service != match_.config->services.end() && service->second.engine) {
         const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
-        request.stated = dispatch::longestStream({tokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
+        request.stated
+            = dispatch::longestStream({request.statedTokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
     }
     return request;
 }
