soak: runs the real programs of a site and restarts them in overlapping series

Gateways and rank agents run as processes on loopback before a simulated store and a rank group in lock-step that carries out orders. Callers use the directory, keep its answers for up to three lifetimes and take no gateway for gone before it is. A seeded operator restarts gateways and agents in series that overlap, and demand shifts. Checked from outside: whole answers, refusals that are true, processes that end by themselves, one map for all ranks, the end within the grace period.

--- /dev/null
+++ b/src/soak/site.h
@@ -0,0 +1,105 @@
+// A deployment of the real programs on loopback: gateways and rank agents as processes before simulated engines and a simulated store, with callers
+// and an operator. Checks from outside what callers are promised.
+
+#pragma once
+
+#include "gateway/tests/storestandin.h"
+#include "soak/process.h"
+#include "soak/rankgroup.h"
+
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisymount::soak
+{
+
+struct SiteOptions
+{
+    unsigned seed = 1;
+    int gateways = 6;
+    int callers = 90;
+    milliseconds duration{60'000};
+    RankGroupOptions group;
+    std::string gatewayProgram = GATEWAY_PROGRAM;
+    std::string rankAgentProgram = RANK_AGENT_PROGRAM;
+};
+
+/// How the requests of a run ended.
+struct Totals
+{
+    int answered = 0;
+    int refused = 0; ///< 503 by a gateway.
+    int failed = 0; ///< Another failure that was delivered whole.
+    int notRead = 0; ///< The connection was refused, or closed before the request was read.
+    int excused = 0; ///< Cut, in a way that the promises allow.
+};
+
+/// All members run on one reactor. Must outlive it.
+class Site
+{
+public:
+    Site(asio::io_context &reactor, const SiteOptions &options);
+
+    /// Plays the run and returns the broken promises.
+    std::vector<std::string> run();
+    const Totals &totals() const;
+    const RankGroup &group() const;
+    /// Folder with the logs of the processes and the record of the run.
+    const std::filesystem::path &folder() const;
+
+private:
+    struct Directory
+    {
+        std::vector<std::string> addresses;
+        Instant validUntil{0};
+    };
+
+    /// One request as its caller saw it.
+    struct Exchange
+    {
+        std::string id;
+        Process *gateway = nullptr;
+        int events = 0;
+        Instant sentAt{0};
+        Instant endedAt{0};
+        gateway::tests::CallerResult result;
+        transport::ReadEnd end = transport::ReadEnd::Open;
+    };
+
+    void startProcesses();
+    asio::awaitable<bool> waitUntilReady();
+    asio::awaitable<void> watchProcesses();
+    asio::awaitable<void> call(unsigned seed);
+    asio::awaitable<void> resolve(Directory &directory, std::minstd_rand &random);
+    asio::awaitable<Exchange> exchange(const std::string &address, int events, bool chunkedBody);
+    void judge(const Exchange &exchange);
+    asio::awaitable<void> operate(unsigned seed);
+    asio::awaitable<void> shiftDemand();
+    asio::awaitable<void> restart(Process &process);
+    asio::awaitable<void> restartInTurn(std::vector<Process *> processes, milliseconds gap);
+    Process *gatewayAt(const std::string &address);
+    void record(const std::string &line);
+    void breakPromise(const std::string &what);
+
+    asio::io_context &reactor_;
+    SiteOptions options_;
+    std::minstd_rand random_;
+    std::string network_;
+    std::filesystem::path folder_;
+    std::ofstream record_;
+    gateway::tests::FakeStore store_;
+    RankGroup group_;
+    std::vector<std::unique_ptr<Process>> gateways_;
+    std::vector<std::unique_ptr<Process>> agents_;
+    Instant begin_{0};
+    Instant end_{0}; ///< No request is sent later.
+    bool finished_ = false;
+    int requests_ = 0;
+    int restarting_ = 0;
+    Totals totals_;
+    std::vector<std::string> broken_;
+};
+
+} // namespace daisymount::soak
