gateway: a map controller plans only on a map that it has read in its own term

Cause: a controller that takes over while ranks are armed and the hold is released gets reports without a common map. It waited for better ones, but went on to sample, and planned on an empty map.

The map counts as unknown until all ranks report the same one and it has been read; a new term forgets earlier maps and plans.

--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -61,6 +61,8 @@
                 group->change.reset();
                 group->reportsStale = true;
                 group->samples.onNewEpoch();
+                group->map.clear();
+                group->mapUnknown = true;
             }
         }
         const auto config = context_.view.config();
@@ -216,7 +218,8 @@
     group.reports = std::move(reports);
     group.leftoverHold = anyHeld && sameMap;
     if (!sameMap || (anyArmed && !anyHeld)) {
-        // Without a hold, armed ranks switch by themselves within a few passes.
+        // Without a hold, armed ranks switch by themselves within a few passes. Until then the group has no map to plan on.
+        group.mapUnknown = true;
         group.reportsStale = true;
         refreshedAt_[group.service] = now - refreshInterval() + ARMED_REFRESH_INTERVAL;
         return;
@@ -328,7 +331,7 @@
         return;
     }
     if (group->mapUnknown) {
-        if (!group->planning) {
+        if (!group->planning && !group->reportsStale) {
             group->planning = true;
             transport::spawnTask(context_.executor, "read_map", readMap(group), [group] {
                 group->planning = false;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -205,6 +205,7 @@
 {
     const int64_t epoch = group->epoch;
     const int64_t version = group->mapVersion;
+    const int64_t term = termFencing_;
     // Work on copies, because the group may restart with other ranks during the search.
     const fleet::ExpertLayout layout = group->layout;
     const ChangeThresholds thresholds = thresholdsAt(group->passTime / maxPause(group->service));
@@ -221,7 +222,8 @@
     const Instant now = framework::monotonicNow();
     group->nextPlan = now + PLAN_INTERVAL;
     group->plannedSkew = search.skew();
-    const bool stillValid = lease_.held() && group->epoch == epoch && group->mapVersion == version && !group->change && !group->reportsStale;
+    const bool stillValid = lease_.held() && termFencing_ == term && group->epoch == epoch && group->mapVersion == version && !group->mapUnknown
+        && !group->change && !group->reportsStale;
     const bool worthIt = stillValid && search.initialSkew() - search.skew() >= thresholds.minGain;
     context_.log.report({"maps",
                          worthIt ? "change_begun" : "map_kept",
@@ -242,8 +244,8 @@
     do {
         co_await refreshReports(group->service);
     } while (group->reportsStale && group->epoch == epoch && lease_.held() && framework::monotonicNow() - now < MAX_SETTLE_WAIT);
-    if (!lease_.held() || context_.draining || group->reportsStale || group->leftoverHold || group->change || group->epoch != epoch
-        || group->mapVersion != version || group->ranks.empty()) {
+    if (!lease_.held() || termFencing_ != term || context_.draining || group->mapUnknown || group->reportsStale || group->leftoverHold || group->change
+        || group->epoch != epoch || group->mapVersion != version || group->ranks.empty()) {
         co_return;
     }
     expertmap::MapChange change{epoch, termFencing_, group->highestVersion + 1, search.map()};
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -47,9 +47,9 @@
         expertmap::SampledRanks sampledRanks;
         Instant lastSampleAt{0}; ///< Time of the last sample, or of the last time that the group had no requests.
         bool sampleGapLogged = false; ///< That no samples come has been logged.
-        expertmap::GroupMap map; ///< Current map.
+        expertmap::GroupMap map; ///< Current map; not valid while mapUnknown is set.
         int64_t mapVersion = 0;
-        bool mapUnknown = false; ///< The current map was set by an earlier controller and has to be read from the ranks.
+        bool mapUnknown = true; ///< The current map has to be read from the ranks: an earlier controller has set it, or ranks are still switching.
         int64_t highestVersion = 0; ///< Highest map version that any rank has received.
         std::shared_ptr<expertmap::GroupSwitch> change; ///< Change in progress, or null.
         std::string changeMapText; ///< Encoded map of the change, as sent in orders.
