transport: each call of a gateway's own states the longest reply that it can need

Operators of similar systems lost machines to runners that sent bytes without end.

Cause: HttpCaller accepted 8 MB from whomever, many at once, and the parsed JSON takes many times that.

Replies are bounded per call (64 KB, counts and lists by the layout of the group, more only from the store and peers), idle connections that receive bytes are reset, and idle connections to addresses that are called no more are closed.

--- a/src/gateway/internal/convictionstore.cpp
+++ b/src/gateway/internal/convictionstore.cpp
@@ -19,6 +19,8 @@
 using crashattribution::Fingerprint;
 using framework::ResultCode;
 
+/// A page of a range.
+constexpr uint64_t MAX_REPLY_BYTES = 2U << 20U;
 constexpr std::string_view KEY_PREFIX = "daisymount/convictions/";
 constexpr const char *CONVICTED_AT_FIELD = "convicted_unix_ms";
 constexpr milliseconds CALL_TIMEOUT{1'000};
@@ -86,7 +88,8 @@
 
 asio::awaitable<transport::HttpReply> ConvictionStore::call(std::string_view name, platform::HttpCall call)
 {
-    transport::HttpReply reply = co_await context_.httpClient.call(context_.settings.store.address, call.method, call.target, call.body, CALL_TIMEOUT);
+    transport::HttpReply reply
+        = co_await context_.httpClient.call(context_.settings.store.address, call.method, call.target, call.body, CALL_TIMEOUT, {}, MAX_REPLY_BYTES);
     context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
     co_return reply;
 }
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -28,6 +28,8 @@
 /// Interval while ranks are armed, because they switch within a few passes.
 constexpr milliseconds ARMED_REFRESH_INTERVAL{60};
 constexpr int64_t MIN_SAMPLES = 8;
+/// Digits of a count, and its comma.
+constexpr uint64_t MAX_COUNT_BYTES = 21;
 /// Time for which an agent that did not answer is bypassed.
 constexpr milliseconds AGENT_BACKOFF{5'000};
 } // namespace
@@ -257,7 +259,7 @@
     });
 }
 
-asio::awaitable<transport::HttpReply> MapController::callRank(std::string upstream, platform::HttpCall call, milliseconds timeout)
+asio::awaitable<transport::HttpReply> MapController::callRank(std::string upstream, platform::HttpCall call, milliseconds timeout, uint64_t maxReplyBytes)
 {
     const auto known = context_.view.upstreams().find(upstream);
     if (known == context_.view.upstreams().end()) {
@@ -268,7 +270,8 @@
     const Instant now = framework::monotonicNow();
     const bool viaAgent = now >= agentBackoffUntil_[upstream];
     transport::HeaderFields fields = platform::expectedUpstreamField(upstream);
-    transport::HttpReply reply = co_await context_.httpClient.call(viaAgent ? agent : engine, call.method, call.target, call.body, timeout, std::move(fields));
+    transport::HttpReply reply
+        = co_await context_.httpClient.call(viaAgent ? agent : engine, call.method, call.target, call.body, timeout, std::move(fields), maxReplyBytes);
     // An unanswered order does not mean that the agent is down, because engines leave some orders unanswered.
     if (viaAgent && reply.status == 0 && call.method == "GET") {
         agentBackoffUntil_[upstream] = framework::monotonicNow() + AGENT_BACKOFF;
@@ -277,6 +280,11 @@
     co_return reply;
 }
 
+uint64_t MapController::maxCountsBytes(const fleet::ExpertLayout &layout)
+{
+    return transport::SHORT_REPLY_BYTES + MAX_COUNT_BYTES * static_cast<uint64_t>(layout.sets) * static_cast<uint64_t>(layout.experts);
+}
+
 milliseconds MapController::maxPause(const std::string &service) const
 {
     milliseconds pause = context_.settings.bounds.passPause;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -134,7 +134,8 @@
     if (group->ranks.size() <= static_cast<size_t>(rank)) {
         co_return;
     }
-    const transport::HttpReply reply = co_await callRank(group->ranks[static_cast<size_t>(rank)].upstream, platform::countsCall(), REPORT_TIMEOUT);
+    const transport::HttpReply reply
+        = co_await callRank(group->ranks[static_cast<size_t>(rank)].upstream, platform::countsCall(), REPORT_TIMEOUT, maxCountsBytes(group->layout));
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(counts, platform::decodeCounts(reply.status, reply.body, group->layout.sets));
         if (counts.epoch != group->epoch) {
@@ -173,7 +174,8 @@
     expertmap::GroupMap map(static_cast<size_t>(group->layout.sets), std::vector<expertmap::RankExperts>(ranks));
     bool complete = true;
     for (size_t rank = 0; rank < ranks && complete && group->ranks.size() == ranks; ++rank) {
-        const transport::HttpReply reply = co_await callRank(group->ranks[rank].upstream, platform::mapListsCall(), REPORT_TIMEOUT);
+        const transport::HttpReply reply
+            = co_await callRank(group->ranks[rank].upstream, platform::mapListsCall(), REPORT_TIMEOUT, maxCountsBytes(group->layout));
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(lists, platform::decodeMapLists(reply.status, reply.body, group->layout.sets));
             complete = lists.epoch == epoch && lists.version == group->mapVersion;
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -39,6 +39,10 @@
 constexpr milliseconds REGISTRATION_TTL{9'000};
 constexpr milliseconds REGISTRATION_RENEWAL_INTERVAL{3'000};
 constexpr milliseconds MAX_MEMBER_POLL_INTERVAL{5'000};
+/// The store's largest value is 1 MB. A page of a range is about as large, in base64, and a watch may return several versions of a value.
+constexpr uint64_t MAX_STORE_REPLY_BYTES = 8U << 20U;
+/// A configuration of the largest size and the entries of some hundred upstreams.
+constexpr uint64_t MAX_SNAPSHOT_BYTES = 4U << 20U;
 constexpr std::string_view MEMBER_PREFIX = "daisymount/entries/";
 } // namespace
 
@@ -77,7 +81,7 @@
 {
     const bool watch = name == "watch";
     transport::HttpCaller &caller = watch ? watchCaller_ : context_.httpClient;
-    transport::HttpReply reply = co_await caller.call(context_.settings.store.address, call.method, call.target, call.body, timeout);
+    transport::HttpReply reply = co_await caller.call(context_.settings.store.address, call.method, call.target, call.body, timeout, {}, MAX_STORE_REPLY_BYTES);
     const bool answered = reply.status != 0 && reply.status != 429 && reply.status != 503;
     context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
     recordStoreResponse(answered);
@@ -385,7 +389,7 @@
 asio::awaitable<bool> StoreSync::fetchFromPeer(peers::Peer peer, std::string_view page)
 {
     const std::string address = peer.ip + ":" + std::to_string(context_.settings.firstPeerPort);
-    const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", PEER_TIMEOUT);
+    const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", PEER_TIMEOUT, {}, MAX_SNAPSHOT_BYTES);
     if (reply.status != 200) {
         co_return false;
     }
--- a/src/gateway/internal/upstreampool.cpp
+++ b/src/gateway/internal/upstreampool.cpp
@@ -33,6 +33,7 @@
         transport::ConnectionPtr connection = std::move(kept.back());
         kept.pop_back();
         if (isReusable(*connection, maxIdle, now)) {
+            connection->setIdle(false);
             co_return PooledConnection{std::move(connection), true};
         }
         connection->close();
@@ -48,6 +49,7 @@
 void UpstreamPool::release(const dispatch::Placement &placement, transport::ConnectionPtr connection)
 {
     connection->idleSince = framework::monotonicNow();
+    connection->setIdle(true);
     idle_[{placement.upstream, placement.bornMs}].push_back(std::move(connection));
 }
 
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -103,7 +103,10 @@
     /// Minimum time between two reads of the reports.
     milliseconds refreshInterval() const;
     /// Calls a rank through the agent on its machine, or directly while the agent does not answer.
-    transport::asio::awaitable<transport::HttpReply> callRank(std::string upstream, platform::HttpCall call, milliseconds timeout);
+    transport::asio::awaitable<transport::HttpReply> callRank(std::string upstream, platform::HttpCall call, milliseconds timeout,
+                                                              uint64_t maxReplyBytes = transport::SHORT_REPLY_BYTES);
+    /// Largest reply with the counts, or the experts by rank, of a group.
+    static uint64_t maxCountsBytes(const fleet::ExpertLayout &layout);
 
     transport::asio::awaitable<void> readCounts(std::shared_ptr<Group> group, int rank);
     transport::asio::awaitable<void> sendCommand(std::shared_ptr<Group> group, std::shared_ptr<expertmap::GroupSwitch> change,
--- a/src/gateway/tests/gatewayprocess.h
+++ b/src/gateway/tests/gatewayprocess.h
@@ -97,6 +97,11 @@
         }
     }
 
+    pid_t id() const
+    {
+        return process_;
+    }
+
     asio::ip::tcp::endpoint endpoint() const
     {
         return endpoint_;
--- a/src/rankagent/main.cpp
+++ b/src/rankagent/main.cpp
@@ -28,6 +28,8 @@
 /// Shorter than the controller's time-outs for reports and prepare orders, so that the agent reports the failure before the controller stops waiting.
 constexpr transport::milliseconds ENGINE_TIMEOUT{100};
 constexpr transport::milliseconds LOG_FLUSH_INTERVAL{500};
+/// Counts of some ten thousand experts, the longest reply of an engine.
+constexpr uint64_t MAX_ENGINE_REPLY_BYTES = 256 * 1024;
 constexpr int BAD_GATEWAY = 502;
 constexpr int NOT_FOUND = 404;
 
@@ -39,7 +41,7 @@
     }
     transport::HeaderFields fields = platform::expectedUpstreamField(*request.fields);
     const transport::HttpReply reply = co_await engine.call(std::move(address), std::string(request.method), std::string(request.target),
-                                                            std::string(request.body), ENGINE_TIMEOUT, std::move(fields));
+                                                            std::string(request.body), ENGINE_TIMEOUT, std::move(fields), MAX_ENGINE_REPLY_BYTES);
     transport::ServerResponse page{BAD_GATEWAY, "application/json", ""};
     if (reply.status != 0) {
         page = {reply.status, "application/json", reply.body};
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -67,6 +67,9 @@
     /// Shuts down the sending side and waits for the peer to close, so that a reset does not discard the last bytes sent.
     asio::awaitable<void> closeGracefully(milliseconds timeout);
 
+    /// While idle, the connection waits for its next use, and bytes that arrive reset it: they belong to no request.
+    void setIdle(bool idle);
+
     /// Called once on the reactor thread when reading ends.
     std::function<void()> onReadEnd;
 
@@ -88,6 +91,7 @@
     ReadEnd readEnd_ = ReadEnd::Open;
     bool reading_ = false;
     bool closed_ = false;
+    bool idle_ = false;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
--- a/src/transport/httpcaller.h
+++ b/src/transport/httpcaller.h
@@ -21,23 +21,30 @@
     std::string body;
 };
 
+/// Largest reply body of a call whose reply is a status or a short object.
+inline constexpr uint64_t SHORT_REPLY_BYTES = 64 * 1024;
+
 class HttpCaller
 {
 public:
     explicit HttpCaller(asio::any_io_executor executor);
 
-    /// Sends a request to @p address (IP:port) and reads the complete reply within @p timeout.
+    /// Sends a request to @p address (IP:port) and reads the complete reply within @p timeout. A reply with a body of more than @p maxReplyBytes counts
+    /// as none: a faulty server may send bytes without end.
     asio::awaitable<HttpReply> call(std::string address, std::string method, std::string target, std::string body, milliseconds timeout,
-                                    HeaderFields fields = {});
+                                    HeaderFields fields = {}, uint64_t maxReplyBytes = SHORT_REPLY_BYTES);
     /// Closes all idle connections.
     void closeIdleConnections();
 
 private:
-    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, Instant deadline);
+    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, Instant deadline, uint64_t maxReplyBytes);
     ConnectionPtr takeIdle(const std::string &address);
+    /// Closes connections that are no longer reusable, of all addresses.
+    void closeExpired(Instant now);
 
     asio::any_io_executor executor_;
     std::map<std::string, std::vector<ConnectionPtr>> idle_; ///< By address.
+    Instant expiredClosedAt_{0}; ///< When closeExpired() last ran.
 };
 
 } // namespace daisymount::transport
--- a/src/transport/internal/connection.cpp
+++ b/src/transport/internal/connection.cpp
@@ -103,6 +103,10 @@
             self->finishReading(error == asio::error::eof ? ReadEnd::Finished : ReadEnd::Broken);
             return;
         }
+        if (self->idle_) {
+            self->reset();
+            return;
+        }
         self->receiveBuffer_.append(self->chunk_.data(), bytes);
         self->readMore();
         self->wake();
@@ -170,6 +174,11 @@
     return written_;
 }
 
+void Connection::setIdle(bool idle)
+{
+    idle_ = idle;
+}
+
 void Connection::close()
 {
     if (closed_) {
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 constexpr size_t HEAD_LIMIT = 16 * 1024;
-/// The store's largest value is 1 MB. A page of a range is about as large again, in base64.
-constexpr uint64_t BODY_LIMIT = 8U << 20U;
 /// Connections idle for longer are not reused, because the peer may have closed them.
 constexpr milliseconds IDLE_LIMIT{4'000};
 /// If connecting takes longer, the peer is considered down or unreachable.
@@ -20,7 +18,7 @@
 { }
 
 asio::awaitable<HttpReply> HttpCaller::call(std::string address, std::string method, std::string target, std::string body, milliseconds timeout,
-                                            HeaderFields fields)
+                                            HeaderFields fields, uint64_t maxReplyBytes)
 {
     const Instant deadline = framework::monotonicNow() + timeout;
     std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address + "\r\n";
@@ -43,11 +41,13 @@
             co_return HttpReply{};
         }
     }
-    HttpReply reply = co_await exchange(*connection, std::move(request), deadline);
+    HttpReply reply = co_await exchange(*connection, std::move(request), deadline, maxReplyBytes);
     const bool reusable = reply.status != 0 && connection->open() && connection->receiveBuffer().empty() && findField(reply.fields, "Connection") != "close";
     if (reusable) {
         connection->idleSince = framework::monotonicNow();
+        connection->setIdle(true);
         idle_[address].push_back(std::move(connection));
+        closeExpired(framework::monotonicNow());
     } else {
         connection->close();
     }
@@ -64,13 +64,13 @@
     idle_.clear();
 }
 
-asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, Instant deadline)
+asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, Instant deadline, uint64_t maxReplyBytes)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - framework::monotonicNow());
     if (!co_await connection.write(request, std::max(left, milliseconds{1}))) {
         co_return HttpReply{};
     }
-    HttpReader reader(HttpReader::MessageType::Response, HEAD_LIMIT, BODY_LIMIT);
+    HttpReader reader(HttpReader::MessageType::Response, HEAD_LIMIT, maxReplyBytes);
     while (!reader.done() && !reader.failed()) {
         connection.consume(reader.feed(connection.receiveBuffer()));
         if (reader.done() || reader.failed()) {
@@ -102,6 +102,7 @@
         ConnectionPtr connection = std::move(connections.back());
         connections.pop_back();
         if (connection->open() && connection->receiveBuffer().empty() && framework::monotonicNow() - connection->idleSince < IDLE_LIMIT) {
+            connection->setIdle(false);
             return connection;
         }
         connection->close();
@@ -109,4 +110,22 @@
     return nullptr;
 }
 
+void HttpCaller::closeExpired(Instant now)
+{
+    if (now - expiredClosedAt_ < IDLE_LIMIT) {
+        return;
+    }
+    expiredClosedAt_ = now;
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second, [now](const ConnectionPtr &connection) {
+            const bool expired = !connection->open() || now - connection->idleSince >= IDLE_LIMIT;
+            if (expired) {
+                connection->close();
+            }
+            return expired;
+        });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+}
+
 } // namespace daisymount::transport
