expertmap: controllers of different terms never choose the same map version

Callers got wrong tokens: a pass began while a rank had another map of the same version (MAP).

Cause: a controller took the version after the highest reported one. A late prepare of its predecessor had that version too, and the report of the rank that executed it was taken for proof of the controller's own prepare.

Versions contain the fencing number of the term, so that a predecessor's are always lower.

--- a/src/expertmap/grouptypes.h
+++ b/src/expertmap/grouptypes.h
@@ -45,6 +45,10 @@
 /// Sum over all sets and experts.
 int64_t totalSelections(const ExpertCounts &counts);
 
+/// Version for the next map of a group, above @p highestVersion. Controllers with different fencing numbers never choose the same one, and one with a
+/// higher number chooses a higher version, so that a prepare of an earlier controller that is executed late is told from that of its successor.
+int64_t nextMapVersion(int64_t highestVersion, int64_t fencing);
+
 /// Experts of one rank in the current map, by set.
 struct RankMap
 {
--- a/src/expertmap/internal/grouptypes.cpp
+++ b/src/expertmap/internal/grouptypes.cpp
@@ -2,11 +2,24 @@
 
 #include "expertmap/grouptypes.h"
 
+#include <algorithm>
+
 #include <numeric>
 
 namespace daisymount::expertmap
 {
 
+namespace
+{
+/// Versions that a controller can choose in one term, in which it changes maps a few times a second at most.
+constexpr int64_t VERSIONS_PER_TERM = int64_t{1} << 20;
+} // namespace
+
+int64_t nextMapVersion(int64_t highestVersion, int64_t fencing)
+{
+    return std::max(highestVersion + 1, fencing * VERSIONS_PER_TERM + 1);
+}
+
 int64_t totalSelections(const ExpertCounts &counts)
 {
     int64_t total = 0;
--- a/src/expertmap/tests/laterelease_tests.cpp
+++ b/src/expertmap/tests/laterelease_tests.cpp
@@ -14,6 +14,43 @@
 constexpr int64_t FENCING = 7;
 } // namespace
 
+TEST_GROUP(MapVersions){};
+
+// Guards against a pass on two maps of one version: a prepare of an earlier controller was executed after its successor had read the reports, which
+// did not show its version, and was taken for the successor's own.
+TEST(MapVersions, latePrepareOfAnEarlierControllerIsNotTakenForThatOfItsSuccessor)
+{
+    constexpr int64_t HIGHEST_REPORTED = 41;
+    const int64_t earlier = nextMapVersion(HIGHEST_REPORTED, 31);
+    const int64_t sealOfEarlier = nextMapVersion(earlier, 31);
+    const int64_t successor = nextMapVersion(HIGHEST_REPORTED, 32);
+    CHECK(earlier > HIGHEST_REPORTED);
+    CHECK(successor > sealOfEarlier);
+
+    Instant now{std::chrono::seconds{1}};
+    std::vector<RankReport> reports(2);
+    for (RankReport &report : reports) {
+        report.epoch = 1;
+        report.mapVersion = HIGHEST_REPORTED;
+    }
+    GroupSwitch change(SwitchOptions::lowLatency(), tests::changeTo(successor, 32, 1, reports.size()), reports, milliseconds{50}, now);
+    for (int round = 0; round < 50 && !change.finished(); ++round, now += milliseconds{50}) {
+        for (const SwitchCommand &command : change.tick(now)) {
+            if (command.order) {
+                CHECK(command.order->kind == OrderKind::Prepare);
+                change.onReply(command, command.rank == 0 ? OrderOutcome::Unknown : OrderOutcome::Begun, now);
+                continue;
+            }
+            RankReport report = reports[static_cast<size_t>(command.rank)];
+            // Rank 0 has executed the earlier controller's prepare, and still owes that of its successor.
+            report.preparedVersion = command.rank == 0 ? sealOfEarlier : successor;
+            report.orderSequence = 1;
+            change.onReport(command.rank, report, now, now);
+        }
+    }
+    CHECK(change.phase() == SwitchPhase::Preparing);
+}
+
 TEST_GROUP(LateRelease)
 {
     Instant now{std::chrono::seconds{1}};
--- a/src/gateway/internal/mapchange.cpp
+++ b/src/gateway/internal/mapchange.cpp
@@ -31,7 +31,7 @@
 void MapController::startCleanUp(Group &group, Instant now)
 {
     // Every rank can prepare the current map again, because it adds no expert to any rank.
-    expertmap::MapChange change{group.epoch, termFencing_, group.highestVersion + 1, group.map};
+    expertmap::MapChange change{group.epoch, termFencing_, expertmap::nextMapVersion(group.highestVersion, termFencing_), group.map};
     const expertmap::SwitchOptions options = agentsReachable(group, now) ? expertmap::SwitchOptions::lowLatency() : expertmap::SwitchOptions{};
     beginChange(group, expertmap::GroupSwitch::cleanUp(options, std::move(change), group.reports, now), now);
     group.leftoverHold = false;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -250,7 +250,7 @@
         || group->epoch != epoch || group->mapVersion != version || group->ranks.empty()) {
         co_return;
     }
-    expertmap::MapChange change{epoch, termFencing_, group->highestVersion + 1, search.map()};
+    expertmap::MapChange change{epoch, termFencing_, expertmap::nextMapVersion(group->highestVersion, termFencing_), search.map()};
     const Instant begin = framework::monotonicNow();
     expertmap::SwitchOptions switchOptions;
     if (agentsReachable(*group, begin)) {
