transport: a late copy of a reply is not taken for the reply to a call to a rank

Callers got wrong tokens: one rank of a group had not switched maps (MAP).

Cause: calls to ranks had no id. A copy of the reply to a reading arrived where the answer to an arm order was due, and counted as its 200.

Gateways and agents give each call to a rank an id, skip replies with another one and go on waiting for theirs.

--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -34,7 +34,8 @@
 constexpr milliseconds AGENT_BACKOFF{5'000};
 } // namespace
 
-MapController::MapController(GatewayContext &context) : context_(context), lease_(context, [this] { return changeInProgress(); })
+MapController::MapController(GatewayContext &context)
+    : context_(context), lease_(context, [this] { return changeInProgress(); }), rankCaller_(context.executor, platform::callIdField())
 { }
 
 bool MapController::changeInProgress() const
@@ -271,7 +272,7 @@
     const bool viaAgent = now >= agentBackoffUntil_[upstream];
     transport::HeaderFields fields = platform::expectedUpstreamField(upstream);
     transport::HttpReply reply
-        = co_await context_.httpClient.call(viaAgent ? agent : engine, call.method, call.target, call.body, timeout, std::move(fields), maxReplyBytes);
+        = co_await rankCaller_.call(viaAgent ? agent : engine, call.method, call.target, call.body, timeout, std::move(fields), maxReplyBytes);
     // An unanswered order does not mean that the agent is down, because engines leave some orders unanswered.
     if (viaAgent && reply.status == 0 && call.method == "GET") {
         agentBackoffUntil_[upstream] = framework::monotonicNow() + AGENT_BACKOFF;
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -119,6 +119,7 @@
 
     GatewayContext &context_;
     MapLease lease_;
+    transport::HttpCaller rankCaller_; ///< Matches replies to calls, since a late copy of a reply could be taken for the answer to an order.
     std::map<std::string, std::shared_ptr<Group>> groups_; ///< By name.
     std::map<std::string, Instant> refreshedAt_; ///< Time of the last read of the reports, by service.
     std::map<std::string, Instant> agentBackoffUntil_; ///< Until when the agent is bypassed, by upstream.
--- a/src/rankagent/main.cpp
+++ b/src/rankagent/main.cpp
@@ -87,7 +87,7 @@
 {
     asio::io_context reactor(1);
     gateway::GatewayLog log({settings.name, settings.zone});
-    transport::HttpCaller engine(reactor.get_executor());
+    transport::HttpCaller engine(reactor.get_executor(), platform::callIdField());
     const auto endpoint = transport::parseEndpoint(settings.ip + ":" + std::to_string(settings.firstPeerPort));
     transport::listenAndServeAsync(reactor.get_executor(), endpoint.value_or(asio::ip::tcp::endpoint()),
                                    [&](transport::ServerRequest request) { return relay(engine, settings.engineAddress, request); });
--- a/src/transport/httpcaller.h
+++ b/src/transport/httpcaller.h
@@ -27,7 +27,9 @@
 class HttpCaller
 {
 public:
-    explicit HttpCaller(asio::any_io_executor executor);
+    /// If @p idField is not empty, each call carries an id of its own in the field of that name. Servers that echo it let a late copy of an earlier reply be
+    /// told from the reply to the call; replies without the field are accepted.
+    explicit HttpCaller(asio::any_io_executor executor, std::string idField = "");
 
     /// Sends a request to @p address (IP:port) and reads the complete reply within @p timeout. A reply with a body of more than @p maxReplyBytes counts
     /// as none: a faulty server may send bytes without end.
@@ -37,12 +39,15 @@
     void closeIdleConnections();
 
 private:
-    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, Instant deadline, uint64_t maxReplyBytes);
+    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, std::string callId, Instant deadline, uint64_t maxReplyBytes);
     ConnectionPtr takeIdle(const std::string &address);
     /// Closes connections that are no longer reusable, of all addresses.
     void closeExpired(Instant now);
 
     asio::any_io_executor executor_;
+    std::string idField_;
+    std::string idPrefix_; ///< Differs between processes.
+    uint64_t calls_ = 0;
     std::map<std::string, std::vector<ConnectionPtr>> idle_; ///< By address.
     Instant expiredClosedAt_{0}; ///< When closeExpired() last ran.
 };
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/httpcaller.h"
 
+#include <random>
+
 namespace daisymount::transport
 {
 
@@ -10,12 +12,17 @@
 constexpr size_t HEAD_LIMIT = 16 * 1024;
 /// Connections idle for longer are not reused, because the peer may have closed them.
 constexpr milliseconds IDLE_LIMIT{4'000};
+/// Maximum number of late copies of earlier replies that are skipped during one call.
+constexpr int MAX_SKIPPED_REPLIES = 4;
 /// If connecting takes longer, the peer is considered down or unreachable.
 constexpr milliseconds CONNECT_LIMIT{1'000};
 } // namespace
 
-HttpCaller::HttpCaller(asio::any_io_executor executor) : executor_(std::move(executor))
-{ }
+HttpCaller::HttpCaller(asio::any_io_executor executor, std::string idField) : executor_(std::move(executor)), idField_(std::move(idField))
+{
+    std::random_device device;
+    idPrefix_ = std::to_string(device()) + "-";
+}
 
 asio::awaitable<HttpReply> HttpCaller::call(std::string address, std::string method, std::string target, std::string body, milliseconds timeout,
                                             HeaderFields fields, uint64_t maxReplyBytes)
@@ -25,6 +32,10 @@
     for (const auto &[name, value] : fields) {
         request += name + ": " + value + "\r\n";
     }
+    const std::string callId = idPrefix_ + std::to_string(++calls_);
+    if (!idField_.empty()) {
+        request += idField_ + ": " + callId + "\r\n";
+    }
     if (!body.empty() || method == "POST") {
         request += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     }
@@ -41,7 +52,7 @@
             co_return HttpReply{};
         }
     }
-    HttpReply reply = co_await exchange(*connection, std::move(request), deadline, maxReplyBytes);
+    HttpReply reply = co_await exchange(*connection, std::move(request), callId, deadline, maxReplyBytes);
     const bool reusable = reply.status != 0 && connection->open() && connection->receiveBuffer().empty() && findField(reply.fields, "Connection") != "close";
     if (reusable) {
         connection->idleSince = framework::monotonicNow();
@@ -64,15 +75,24 @@
     idle_.clear();
 }
 
-asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, Instant deadline, uint64_t maxReplyBytes)
+asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, std::string callId, Instant deadline, uint64_t maxReplyBytes)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - framework::monotonicNow());
     if (!co_await connection.write(request, std::max(left, milliseconds{1}))) {
         co_return HttpReply{};
     }
     HttpReader reader(HttpReader::MessageType::Response, HEAD_LIMIT, maxReplyBytes);
+    int skippedReplies = 0;
     while (!reader.done() && !reader.failed()) {
         connection.consume(reader.feed(connection.receiveBuffer()));
+        const std::string_view repliedId = reader.done() && !idField_.empty() ? findField(reader.fields(), idField_) : std::string_view{};
+        if (!repliedId.empty() && repliedId != callId) {
+            if (++skippedReplies > MAX_SKIPPED_REPLIES) {
+                co_return HttpReply{};
+            }
+            reader = HttpReader(HttpReader::MessageType::Response, HEAD_LIMIT, maxReplyBytes);
+            continue;
+        }
         if (reader.done() || reader.failed()) {
             break;
         }
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -1,9 +1,14 @@
 // Tests for HTTP parsing: the result does not depend on how the input is split, and invalid message framing is rejected.
 
 #include "transport/connection.h"
+#include "transport/httpcaller.h"
 #include "transport/httpreader.h"
 #include "transport/httpserver.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <random>
@@ -147,3 +152,71 @@
     STRCMP_EQUAL("", queryValue("/p", "zone").c_str());
     STRCMP_EQUAL("%", queryValue("/p?zone=%", "zone").c_str());
 }
+
+TEST_GROUP(HttpCaller)
+{
+    asio::io_context reactor;
+
+    /// Serves two calls on one connection. The reply to the first comes once more in place of that to the second, which follows if @p answersSecond.
+    asio::awaitable<void> serveWithLateCopy(ConnectionPtr connection, bool answersSecond)
+    {
+        std::string copy;
+        for (int call = 0; call < 2; ++call) {
+            HttpReader reader(HttpReader::MessageType::Request, 4'096, 1'000);
+            while (!reader.done() && connection->open()) {
+                connection->consume(reader.feed(connection->receiveBuffer()));
+                if (!reader.done()) {
+                    co_await connection->waitForBytes(connection->receiveBuffer().size(), daisymount::framework::monotonicNow() + milliseconds{1'000});
+                }
+            }
+            const std::string body = std::to_string(call);
+            const std::string reply
+                = "HTTP/1.1 200 OK\r\nX-Call: " + std::string(findField(reader.fields(), "X-Call")) + "\r\nContent-Length: 1\r\n\r\n" + body;
+            const std::string bytes = call == 0 ? reply : copy + (answersSecond ? reply : "");
+            copy = reply;
+            co_await connection->write(bytes, milliseconds{1'000});
+        }
+        co_await sleepFor(milliseconds{500});
+    }
+
+    /// Returns the replies to two calls.
+    std::vector<HttpReply> callTwice(bool answersSecond)
+    {
+        const AcceptorPtr acceptor = listenAt(reactor.get_executor(), {asio::ip::address_v4::loopback(), 0}, [&](ConnectionPtr connection) {
+            asio::co_spawn(reactor, serveWithLateCopy(std::move(connection), answersSecond), asio::detached);
+        });
+        const std::string address = "127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+        daisymount::transport::HttpCaller caller(reactor.get_executor(), "X-Call");
+        std::vector<HttpReply> replies;
+        asio::co_spawn(
+            reactor,
+            [](daisymount::transport::HttpCaller *client, std::string to, std::vector<HttpReply> *into) -> asio::awaitable<void> {
+                for (int i = 0; i < 2; ++i) {
+                    HttpReply reply = co_await client->call(to, "GET", "/", "", milliseconds{300});
+                    into->push_back(std::move(reply));
+                }
+            }(&caller, address, &replies),
+            asio::detached);
+        reactor.run_for(std::chrono::milliseconds{900});
+        acceptor->close();
+        reactor.run_for(std::chrono::milliseconds{300});
+        return replies;
+    }
+};
+
+// Guards against a late copy of an earlier reply that is taken for the answer to an order to a rank.
+TEST(HttpCaller, lateCopyOfAnEarlierReplyIsNotTakenForTheReplyToACall)
+{
+    const std::vector<HttpReply> replies = callTwice(false);
+    LONGS_EQUAL(2, replies.size());
+    LONGS_EQUAL(200, replies[0].status);
+    LONGS_EQUAL(0, replies[1].status);
+}
+
+TEST(HttpCaller, replyAfterALateCopyIsDelivered)
+{
+    const std::vector<HttpReply> replies = callTwice(true);
+    LONGS_EQUAL(2, replies.size());
+    LONGS_EQUAL(200, replies[1].status);
+    STRCMP_EQUAL("1", replies[1].body.c_str());
+}
