--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -162,7 +162,7 @@
 {
     const auto endpoint = [](const std::string &address) { return transport::parseEndpoint(address).value_or(asio::ip::tcp::endpoint()); };
     const fleet::NodeSettings &settings = context_.settings;
-    callerAcceptor_ = transport::listenAt(context_.executor, endpoint(settings.callerAddress), [this](transport::ConnectionPtr connection) {
+    callerAcceptor_ = transport::listenAt(context_.executor, endpoint(settings.callerAddress), [this](const transport::ConnectionPtr &connection) {
         transport::spawnTask(context_.executor, "serve_caller", serveCaller(context_, connection), [connection] { connection->reset(); });
     });
     transport::listenAndServe(context_.executor, endpoint(settings.readyAddress), [this](const transport::ServerRequest &) { return readyPage(); });
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -74,7 +74,8 @@
 class ScriptedUpstream
 {
 public:
-    ScriptedUpstream(asio::any_io_executor executor, Script script) : script_(std::move(script)), acceptor_(executor, {asio::ip::address_v4::loopback(), 0})
+    ScriptedUpstream(const asio::any_io_executor &executor, Script script)
+        : script_(std::move(script)), acceptor_(executor, {asio::ip::address_v4::loopback(), 0})
     {
         asio::co_spawn(executor, accept(), asio::detached);
     }
--- a/src/gateway/tests/storestandin.h
+++ b/src/gateway/tests/storestandin.h
@@ -19,7 +19,7 @@
 class FakeStore
 {
 public:
-    explicit FakeStore(asio::any_io_executor executor)
+    explicit FakeStore(const asio::any_io_executor &executor)
         : listener_(std::make_unique<ScriptedUpstream>(
             executor, [this](transport::ConnectionPtr connection, ReceivedRequest request) { return serve(std::move(connection), std::move(request)); }))
     { }
@@ -127,8 +127,8 @@
 
     Reply change(const ReceivedRequest &request)
     {
-        constexpr std::string_view KEEP = "/-/kv-keep/";
-        constexpr std::string_view END = "/-/kv-lease-end/";
+        constexpr std::string_view keepPath = "/-/kv-keep/";
+        constexpr std::string_view endPath = "/-/kv-lease-end/";
         Json::Value body;
         framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_ASSIGN(body, framework::parseJsonObject(request.body));
@@ -140,15 +140,15 @@
             leases_[++lastLeaseId_] = {ttl, framework::monotonicNow() + ttl};
             reply.body["lease"] = static_cast<Json::Int64>(lastLeaseId_);
             reply.body["ttl_ms"] = static_cast<Json::Int64>(ttl.count());
-        } else if (request.target.starts_with(KEEP)) {
-            const auto lease = leases_.find(std::stoll(request.target.substr(KEEP.size())));
+        } else if (request.target.starts_with(keepPath)) {
+            const auto lease = leases_.find(std::stoll(request.target.substr(keepPath.size())));
             if (lease == leases_.end()) {
                 return {404, Json::objectValue};
             }
             lease->second.end = framework::monotonicNow() + lease->second.ttl;
             reply.body["ttl_ms"] = static_cast<Json::Int64>(lease->second.ttl.count());
-        } else if (request.target.starts_with(END)) {
-            endLease(std::stoll(request.target.substr(END.size())));
+        } else if (request.target.starts_with(endPath)) {
+            endLease(std::stoll(request.target.substr(endPath.size())));
         } else if (request.target == "/-/kv-txn") {
             return transaction(body);
         }
--- a/src/soak/internal/rankgroup.cpp
+++ b/src/soak/internal/rankgroup.cpp
@@ -49,7 +49,7 @@
 {
     for (int i = 0; i < options.ranks; ++i) {
         Rank &rank = ranks_[static_cast<size_t>(i)];
-        rank.counts.assign(static_cast<size_t>(options.sets * options.experts), 0);
+        rank.counts.assign(static_cast<size_t>(options.sets) * static_cast<size_t>(options.experts), 0);
         const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(network + std::to_string(i + 1)), options.port);
         rank.acceptor = transport::listenAt(executor_, endpoint, [this, i](transport::ConnectionPtr connection) {
             asio::co_spawn(executor_, serve(i, std::move(connection)), asio::detached);
--- a/src/soak/internal/site.cpp
+++ b/src/soak/internal/site.cpp
@@ -269,6 +269,7 @@
     std::minstd_rand random(seed);
     const auto pick = [&random](const std::vector<std::unique_ptr<Process>> &processes, bool inOrder) {
         std::vector<Process *> chosen;
+        chosen.reserve(processes.size());
         for (const auto &process : processes) {
             chosen.push_back(process.get());
         }
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -91,7 +91,7 @@
 
 void listenAndServeAsync(const asio::any_io_executor &executor, const asio::ip::tcp::endpoint &endpoint, AsyncRequestHandler handler)
 {
-    listenAt(executor, endpoint, [executor, handler = std::move(handler)](ConnectionPtr connection) {
+    listenAt(executor, endpoint, [executor, handler = std::move(handler)](const ConnectionPtr &connection) {
         spawnTask(executor, "serve_connection", serveConnection(connection, handler), [connection] { connection->reset(); });
     });
 }
