--- a/src/soak/internal/rankgroup.cpp
+++ b/src/soak/internal/rankgroup.cpp
@@ -6,6 +6,8 @@
 #include "transport/httpserver.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <numeric>
 #include <set>
 
