--- a/src/fleet/nodesettings.h
+++ b/src/fleet/nodesettings.h
@@ -31,6 +31,13 @@
     milliseconds addressTtlMax{5'000};
 };
 
+/// Rule by which requests to model engines are admitted.
+enum class AdmissionMode : uint8_t {
+    Auto, ///< Adaptive where the configuration calls for it, see dispatch/loadpolicy.h.
+    Slots, ///< By a fraction of the published slots.
+    Adaptive, ///< By measured concurrency limits and by shares of priorities and organisations.
+};
+
 /// Address and rate limits of the platform store; the limits apply to all processes of the system together.
 struct StoreAccess
 {
@@ -60,6 +67,7 @@
     std::string fingerprint; ///< Changes if any setting changes.
     PromisedBounds bounds;
     StoreAccess store;
+    AdmissionMode admission = AdmissionMode::Auto;
 };
 
 } // namespace daisymount::fleet
