dispatch, peers: concurrency limits by group, shares of priorities and organisations, lists of rank groups

Cause: engines were admitted by eleven twelfths of their slots, over all groups of a service together. Heartbeats carry the demand, a message of its own the ranks of each group.

--- a/src/dispatch/concurrencylimit.h
+++ b/src/dispatch/concurrencylimit.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 
 namespace daisymount::dispatch
@@ -60,16 +61,18 @@
 
     /// @p passTime is the time between two consecutive events of a stream, @p inFlight the requests at the group over all entries.
     void onPass(Duration passTime, int inFlight, Instant now);
+    /// Requests at the group over all entries, as far as reported.
+    void onInFlight(int inFlight);
     /// The group has opened again in a new epoch: its experts are placed in turn and nothing is measured.
     void onReopened(Instant now);
     ConcurrencyDecision decide(const GroupCapacity &capacity, Instant now);
 
 private:
-    /// Passes observed within a short time.
+    /// Passes observed within WINDOW.
     struct Window
     {
         Instant start{0};
-        double passSeconds = 0.0;
+        double longestSeconds = 0.0; ///< The longest pass: one of them makes a stream late.
         int passes = 0;
         double inFlight = 0.0; ///< Sum over the passes.
     };
@@ -79,6 +82,9 @@
     double limit_ = 0.0; ///< 0 before the first decision.
     Instant grownAt_{0};
     int inFlight_ = 0;
+
+    /// High quantile of the ratios of measured to modelled pass time; empty if too little was measured.
+    std::optional<double> tailFactor(const GroupCapacity &capacity) const;
 };
 
 /// Modelled pass time with @p inFlight requests at a group with evenly loaded ranks.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "dispatch/groupdirectory.h"
 #include "dispatch/homeplaces.h"
 #include "dispatch/retryshare.h"
 #include "dispatch/upstreamnotices.h"
@@ -34,6 +35,7 @@
     std::span<const std::string> tried; ///< Upstreams already attempted for this request.
     bool allowAvoided = false; ///< Use a temporarily avoided or silent upstream if no other is available.
     std::span<const std::string> silent = {}; ///< Upstreams that do not respond at present.
+    std::optional<std::string_view> group = std::nullopt; ///< If set, only ranks of the group with this key are used.
     std::optional<uint64_t> trialKey = std::nullopt; ///< If set, only the upstream is used that all entries select for this key.
 };
 
@@ -93,6 +95,8 @@
 
     /// Synchronizes upstreams and zones with @p view. Load and failure data of unchanged upstreams are retained.
     void onFleetChange(const fleet::FleetView &view, Instant now);
+    /// Assigns the upstreams to the rank groups of their services.
+    void onGroupsChange(const GroupDirectory &groups);
     /// Number of possibly live entries including this one, at least 1. The request rate of cold upstreams is divided by it.
     void setEntries(int entries);
 
@@ -130,9 +134,12 @@
     /// In-flight requests from this entry to @p upstream.
     int inFlight(std::string_view upstream) const;
     bool hasEngines(std::string_view service) const;
-    EngineLoad engineLoad(std::string_view service, Instant now) const;
-    /// In-flight requests from this entry, by service, for services with engines.
-    std::vector<std::pair<std::string, int>> inFlightByService() const;
+    /// @p key is the name of a service, for all its engines, or the key of one of its groups.
+    EngineLoad engineLoad(std::string_view key, Instant now) const;
+    /// In-flight requests from this entry, by group key, for services with engines.
+    std::vector<std::pair<std::string, int>> inFlightByGroup() const;
+    /// Group key of the upstream, empty if it is unknown.
+    std::string_view groupOf(std::string_view upstream) const;
 
     /// With fewer entries, load reports of the engines are frequent enough to select by load alone.
     static constexpr size_t MIN_ENTRIES_TO_RESERVE_SLOTS = 16;
@@ -141,6 +148,7 @@
     struct State
     {
         fleet::Upstream upstream;
+        std::string group; ///< Group key.
         Instant coldUntil{0};
         double coldTokens = 0.0; ///< Token bucket for requests during cold start.
         Instant coldRefilled{0};
@@ -191,6 +199,7 @@
     DispatcherOptions options_;
     int entries_ = 1;
     UpstreamNotices notices_;
+    GroupDirectory groups_;
     std::vector<ServingEntry> servingEntries_; ///< By zone and name.
     std::map<std::string, State, std::less<>> states_; ///< By id.
     std::map<std::string, double, std::less<>> coldPerSecond_; ///< By service; only services with a limit.
--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -81,6 +81,8 @@
 public:
     /// @p deadline is the value stated in the request. First attempts on a route all state the same one.
     bool isRetry(std::string_view route, milliseconds deadline, Instant now);
+    /// Time since the caller's first attempt, from the deadline that is left; 0 for a first attempt.
+    Duration timeSinceFirstAttempt(std::string_view route, milliseconds deadline, Instant now);
 
 private:
     struct LongestDeadline
--- a/src/dispatch/groupdirectory.h
+++ b/src/dispatch/groupdirectory.h
@@ -16,6 +16,11 @@
 /// Short form of an upstream id in messages between gateways.
 uint32_t upstreamHash(std::string_view upstream);
 
+/// Key of one of several groups of a service.
+std::string groupKey(std::string_view service, std::string_view group);
+/// True if @p key is that of @p service itself or of one of its groups.
+bool isKeyOf(std::string_view key, std::string_view service);
+
 /// Ranks of one group.
 struct GroupMembers
 {
--- a/src/dispatch/homeplaces.h
+++ b/src/dispatch/homeplaces.h
@@ -34,7 +34,7 @@
     std::string name;
     std::string zone;
     bool self = false;
-    std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight at the engines, by service, as last reported.
+    std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight at the engines, by group key, as last reported.
 
     int inFlightAt(std::string_view service) const;
 };
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -73,6 +73,7 @@
             state.coldRefilled = now;
         }
         state.upstream = known.upstream;
+        state.group = groups_.keyOf(known.upstream.service, id);
         state.coldUntil = std::max(state.coldUntil, known.coldUntil);
         const bool replaced = known.upstream.bornMs < newestAt[known.upstream.address];
         const bool leaving = known.upstream.state != fleet::UpstreamState::Ready || notices_.isLeaving(id, known.upstream.bornMs);
@@ -87,6 +88,20 @@
     allocateEngineSlots();
 }
 
+void Dispatcher::onGroupsChange(const GroupDirectory &groups)
+{
+    groups_ = groups;
+    for (auto &[id, state] : states_) {
+        state.group = groups_.keyOf(state.upstream.service, id);
+    }
+}
+
+std::string_view Dispatcher::groupOf(std::string_view upstream) const
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() ? std::string_view{} : std::string_view(found->second.group);
+}
+
 void Dispatcher::setEntries(int entries)
 {
     entries_ = std::max(1, entries);
@@ -136,7 +151,7 @@
         if (!state.usable || state.upstream.service != request.service || std::ranges::find(request.tried, id) != request.tried.end()) {
             continue;
         }
-        if (request.trialKey && id != trialUpstreamId) {
+        if ((request.trialKey && id != trialUpstreamId) || (request.group && state.group != *request.group)) {
             continue;
         }
         known = true;
@@ -322,22 +337,22 @@
     return registeredAsLeaving || notices_.isLeaving(upstream, bornMs);
 }
 
-std::vector<std::pair<std::string, int>> Dispatcher::inFlightByService() const
+std::vector<std::pair<std::string, int>> Dispatcher::inFlightByGroup() const
 {
     std::map<std::string, int, std::less<>> counts;
     for (const auto &[id, state] : states_) {
         if (engineServices_.contains(state.upstream.service)) {
-            counts[state.upstream.service] += state.inFlight;
+            counts[state.group] += state.inFlight;
         }
     }
     return {counts.begin(), counts.end()};
 }
 
-EngineLoad Dispatcher::engineLoad(std::string_view service, Instant now) const
+EngineLoad Dispatcher::engineLoad(std::string_view key, Instant now) const
 {
     EngineLoad load;
     for (const auto &[id, state] : states_) {
-        if (state.upstream.service == service) {
+        if (state.upstream.service == key || state.group == key) {
             load.inFlight += state.inFlight;
             load.usable += state.usable && now >= state.pausedUntil ? 1 : 0;
         }
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -60,6 +60,11 @@
     return slots * (view.isRetry ? 1.0 : options_.slotFraction);
 }
 
+Duration RetryDetector::timeSinceFirstAttempt(std::string_view route, milliseconds deadline, Instant now)
+{
+    return isRetry(route, deadline, now) ? longest_.find(route)->second.deadline - deadline : milliseconds{0};
+}
+
 bool RetryDetector::isRetry(std::string_view route, milliseconds deadline, Instant now)
 {
     auto found = longest_.find(route);
--- a/src/dispatch/internal/enginechoice.cpp
+++ b/src/dispatch/internal/enginechoice.cpp
@@ -68,8 +68,9 @@
 bool Dispatcher::isEligible(State &state, const PlacementRequest &request, Instant now)
 {
     const bool avoided = isAvoided(state, request, now) && !request.allowAvoided;
-    return state.usable && state.upstream.service == request.service && std::ranges::find(request.tried, state.upstream.id) == request.tried.end()
-        && now >= state.pausedUntil && !avoided && hasColdToken(state, now);
+    const bool wanted = state.upstream.service == request.service && (!request.group || state.group == *request.group);
+    return state.usable && wanted && std::ranges::find(request.tried, state.upstream.id) == request.tried.end() && now >= state.pausedUntil && !avoided
+        && hasColdToken(state, now);
 }
 
 Dispatcher::State *Dispatcher::chooseEngine(const PlacementRequest &request, Instant now)
--- a/src/dispatch/internal/groupdirectory.cpp
+++ b/src/dispatch/internal/groupdirectory.cpp
@@ -12,11 +12,21 @@
 
 namespace
 {
-std::string groupKey(const GroupMembers &members)
+constexpr char KEY_SEPARATOR = '/';
+} // namespace
+
+std::string groupKey(std::string_view service, std::string_view group)
 {
-    return members.service + "/" + members.group;
+    std::string key(service);
+    key += KEY_SEPARATOR;
+    key += group;
+    return key;
+}
+
+bool isKeyOf(std::string_view key, std::string_view service)
+{
+    return key.starts_with(service) && (key.size() == service.size() || key[service.size()] == KEY_SEPARATOR);
 }
-} // namespace
 
 uint32_t upstreamHash(std::string_view upstream)
 {
@@ -41,9 +51,9 @@
         if (std::ranges::count_if(list_.groups, sameService) < 2) {
             continue;
         }
-        ranks_[groupKey(members)] = static_cast<int>(members.ranks.size());
+        ranks_[groupKey(members.service, members.group)] = static_cast<int>(members.ranks.size());
         for (const uint32_t rank : members.ranks) {
-            groupOfRank_[members.service][rank] = groupKey(members);
+            groupOfRank_[members.service][rank] = groupKey(members.service, members.group);
         }
     }
     return true;
@@ -77,7 +87,7 @@
     if (hasSeveralGroups(service)) {
         for (const GroupMembers &members : list_.groups) {
             if (members.service == service) {
-                keys.push_back(groupKey(members));
+                keys.push_back(groupKey(members.service, members.group));
             }
         }
     }
--- a/src/dispatch/internal/homeplaces.cpp
+++ b/src/dispatch/internal/homeplaces.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/homeplaces.h"
 
+#include "dispatch/groupdirectory.h"
+
 #include <algorithm>
 
 namespace daisymount::dispatch
@@ -25,8 +27,11 @@
 
 int ServingEntry::inFlightAt(std::string_view service) const
 {
-    const auto found = std::ranges::find(inFlight, service, [](const auto &row) { return std::string_view(row.first); });
-    return found == inFlight.end() ? 0 : found->second;
+    int sum = 0;
+    for (const auto &[key, count] : inFlight) {
+        sum += isKeyOf(key, service) ? count : 0;
+    }
+    return sum;
 }
 
 } // namespace daisymount::dispatch
--- a/src/peers/internal/heartbeatcodec.cpp
+++ b/src/peers/internal/heartbeatcodec.cpp
@@ -15,9 +15,13 @@
 using framework::Result;
 using framework::ResultCode;
 
-constexpr std::string_view MAGIC = "DH2";
+constexpr std::string_view MAGIC = "DH3";
 constexpr uint64_t MAX_ROWS = 256;
 constexpr int64_t MAX_AGE_MS = 24LL * 60 * 60 * 1000;
+/// Rates are sent as whole multiples of 1 / RATE_UNITS requests per second.
+constexpr double RATE_UNITS = 10.0;
+constexpr double MAX_RATE = 1e6;
+constexpr int64_t MAX_PRIORITY = 1'000;
 constexpr uint64_t SERVING = 1;
 constexpr uint64_t CONTROLS_MAPS = 2;
 constexpr uint64_t WATCHES_STORE = 4;
@@ -49,6 +53,8 @@
     writer.signedNumber(peer.revisions.config);
     writer.signedNumber(peer.revisions.zones);
     writer.signedNumber(peer.revisions.upstreams);
+    writer.signedNumber(peer.revisions.groupsTerm);
+    writer.signedNumber(peer.revisions.groups);
 }
 
 Result<Peer> readPeer(CompactReader &reader)
@@ -81,8 +87,59 @@
     BOOST_LEAF_ASSIGN(peer.revisions.config, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.zones, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.upstreams, reader.signedNumber());
+    BOOST_LEAF_ASSIGN(peer.revisions.groupsTerm, reader.signedNumber());
+    BOOST_LEAF_ASSIGN(peer.revisions.groups, reader.signedNumber());
     return peer;
 }
+
+uint64_t encodeRate(double perSecond)
+{
+    return static_cast<uint64_t>(std::clamp(perSecond, 0.0, MAX_RATE) * RATE_UNITS + 0.5);
+}
+
+Result<double> readRate(CompactReader &reader)
+{
+    BOOST_LEAF_AUTO(units, reader.number(static_cast<uint64_t>(MAX_RATE * RATE_UNITS)));
+    return static_cast<double>(units) / RATE_UNITS;
+}
+
+void writeDemand(CompactWriter &writer, const ServiceDemand &demand)
+{
+    writer.text(demand.service);
+    writer.number(demand.demand.priorities.size());
+    for (const dispatch::DemandReport::Priority &priority : demand.demand.priorities) {
+        writer.signedNumber(priority.priority);
+        writer.number(encodeRate(priority.perSecond));
+        writer.number(encodeRate(priority.returningPerSecond));
+        writer.number(priority.largest.size());
+        for (const dispatch::DemandReport::Organisation &organisation : priority.largest) {
+            writer.number(organisation.hash);
+            writer.number(encodeRate(organisation.perSecond));
+        }
+    }
+}
+
+Result<ServiceDemand> readDemand(CompactReader &reader)
+{
+    ServiceDemand demand;
+    BOOST_LEAF_ASSIGN(demand.service, reader.text());
+    BOOST_LEAF_AUTO(priorities, reader.number(MAX_ROWS));
+    for (uint64_t i = 0; i < priorities; ++i) {
+        dispatch::DemandReport::Priority priority;
+        BOOST_LEAF_AUTO(value, reader.signedNumber());
+        priority.priority = static_cast<int>(std::clamp<int64_t>(value, 0, MAX_PRIORITY));
+        BOOST_LEAF_ASSIGN(priority.perSecond, readRate(reader));
+        BOOST_LEAF_ASSIGN(priority.returningPerSecond, readRate(reader));
+        BOOST_LEAF_AUTO(organisations, reader.number(dispatch::DemandReport::MAX_ORGANISATIONS));
+        for (uint64_t k = 0; k < organisations; ++k) {
+            BOOST_LEAF_AUTO(hash, reader.number(std::numeric_limits<uint32_t>::max()));
+            BOOST_LEAF_AUTO(rate, readRate(reader));
+            priority.largest.push_back({static_cast<uint32_t>(hash), rate});
+        }
+        demand.demand.priorities.push_back(std::move(priority));
+    }
+    return demand;
+}
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
@@ -100,6 +157,10 @@
         writer.signedNumber(leaving.bornMs);
         writer.signedNumber(std::max<int64_t>(0, leaving.age.count()));
     }
+    writer.number(heartbeat.demand.size());
+    for (const ServiceDemand &demand : heartbeat.demand) {
+        writeDemand(writer, demand);
+    }
     return writer.finish(MAGIC);
 }
 
@@ -125,6 +186,11 @@
         BOOST_LEAF_AUTO(age, reader.signedNumber());
         heartbeat.leaving.push_back({std::move(upstream), born, boundedAge(age)});
     }
+    BOOST_LEAF_AUTO(demands, reader.number(MAX_ROWS));
+    for (uint64_t i = 0; i < demands; ++i) {
+        BOOST_LEAF_AUTO(demand, readDemand(reader));
+        heartbeat.demand.push_back(std::move(demand));
+    }
     if (!reader.atEnd()) {
         return fail(ResultCode::BadMessage, "trailing bytes after a heartbeat");
     }
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -2,6 +2,8 @@
 
 #include "peers/peertable.h"
 
+#include "dispatch/groupdirectory.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -130,15 +132,15 @@
     return found;
 }
 
-int PeerTable::inFlightOfOthers(std::string_view service, Instant now) const
+int PeerTable::inFlightOfOthers(std::string_view key, Instant now) const
 {
     int sum = 0;
     for (const auto &[name, member] : members_) {
         if (now - member.heardAt > options_.aliveTimeout) {
             continue;
         }
-        for (const auto &[otherService, count] : member.peer.inFlight) {
-            sum += otherService == service ? count : 0;
+        for (const auto &[otherKey, count] : member.peer.inFlight) {
+            sum += dispatch::isKeyOf(otherKey, key) ? count : 0;
         }
     }
     return sum;
@@ -188,9 +190,9 @@
     return serving + 1 < options_.minServingToShareWatches || positionInZone(now) < options_.watchersPerZone || watching < options_.minWatchers;
 }
 
-bool PeerTable::groupDown(std::string_view service, Instant now) const
+bool PeerTable::groupDown(std::string_view key, Instant now) const
 {
-    const auto reportsDown = [&](const Peer &peer) { return peer.controlsMaps && std::ranges::find(peer.groupsDown, service) != peer.groupsDown.end(); };
+    const auto reportsDown = [&](const Peer &peer) { return peer.controlsMaps && std::ranges::find(peer.groupsDown, key) != peer.groupsDown.end(); };
     return reportsDown(self_) || std::ranges::any_of(members_, [&](const auto &entry) {
                return now - entry.second.heardAt <= options_.aliveTimeout && reportsDown(entry.second.peer);
            });
--- a/src/peers/peercodec.h
+++ b/src/peers/peercodec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "crashattribution/crashtypes.h"
+#include "dispatch/groupdirectory.h"
 #include "fleet/fleetview.h"
 #include "framework/result.h"
 #include "peers/peertypes.h"
@@ -35,6 +36,11 @@
 std::string encodeCrashUpdate(const crashattribution::CrashUpdate &update);
 framework::Result<crashattribution::CrashUpdate> decodeCrashUpdate(std::string_view bytes);
 
+/// Lists of rank groups are separate messages, sent to members that know an older one.
+bool isGroupList(std::string_view bytes);
+std::string encodeGroupList(const dispatch::GroupList &list);
+framework::Result<dispatch::GroupList> decodeGroupList(std::string_view bytes);
+
 std::string encodeSnapshot(const FleetSnapshot &snapshot);
 framework::Result<FleetSnapshot> decodeSnapshot(std::string_view bytes);
 
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -62,16 +62,16 @@
     /// Members that keep their part of divided capacity, without this gateway. Members silent for longer than aliveTimeout are returned
     /// without requests in flight.
     std::vector<Peer> allocationPeers(Instant now) const;
-    /// Requests in flight from the other members to the engines of @p service, as last reported.
-    int inFlightOfOthers(std::string_view service, Instant now) const;
+    /// Requests in flight from the other members to the engines of a service or of the group with @p key, as last reported.
+    int inFlightOfOthers(std::string_view key, Instant now) const;
     /// The member of the same zone that reads the upstreams from the store on behalf of the others. Empty if it is this gateway or if the
     /// last read of that member is too old.
     std::optional<Peer> zoneReader(Instant now) const;
     /// True if this gateway has to watch the operators' keys in the store itself: it is a watcher of its zone, or too few others are known
     /// to watch.
     bool mustWatchStore(Instant now) const;
-    /// True if the map controller, on this gateway or another one, reports that the rank group of the service executes no passes.
-    bool groupDown(std::string_view service, Instant now) const;
+    /// True if the map controller, on this gateway or another one, reports that the rank group with @p key executes no passes.
+    bool groupDown(std::string_view key, Instant now) const;
     /// The store's registry of members has been read and all its addresses were added.
     void onRegistryRead();
     /// Number of possibly live members including this gateway. At least assumedMembers until the registry has been read or discoveryTime
--- a/src/peers/peertypes.h
+++ b/src/peers/peertypes.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "dispatch/admissionshares.h"
 #include "fleet/fleettypes.h"
 
 #include <cstdint>
@@ -22,6 +23,15 @@
     int64_t config = 0;
     int64_t zones = -1;
     int64_t upstreams = 0;
+    int64_t groupsTerm = 0; ///< Of the list of rank groups, see dispatch::GroupList.
+    int64_t groups = 0;
+};
+
+/// Demand on a service with adaptive admission.
+struct ServiceDemand
+{
+    std::string service;
+    dispatch::DemandReport demand;
 };
 
 struct Peer
@@ -34,8 +44,8 @@
     bool serving = false; ///< Ready and not shutting down.
     bool controlsMaps = false; ///< Holds the lease of the map controller.
     bool watchesStore = false; ///< Watches the operators' keys, and the store responded to the last watch.
-    std::vector<std::string> groupsDown; ///< Services whose rank group executes no passes, as reported by the map controller.
-    std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight from this gateway to the engines, by service.
+    std::vector<std::string> groupsDown; ///< Keys of the rank groups that execute no passes, as reported by the map controller.
+    std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight from this gateway to the engines, by group key.
     milliseconds storeReadAge{NEVER_READ}; ///< Age of its last read of the upstreams from the store, at the time of the heartbeat.
     KnownRevisions revisions;
 
@@ -54,6 +64,7 @@
     Peer sender;
     std::vector<RelayedPeer> others;
     std::vector<fleet::LeavingUpstream> leaving = {}; ///< Recent shutdown notices of upstreams.
+    std::vector<ServiceDemand> demand = {}; ///< Of the callers of the sender; not relayed.
 };
 
 } // namespace daisymount::peers
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -333,6 +333,52 @@
     CHECK(encodeHeartbeat(heartbeat).size() < 700);
 }
 
+TEST(PeerCodec, demandIsUnchangedByEncodingAndDecodingAndFitsInto200BytesForThreePriorities)
+{
+    Heartbeat sent{peer("1"), {}};
+    const size_t before = encodeHeartbeat(sent).size();
+    daisymount::dispatch::DemandReport report;
+    for (int priority = 0; priority < 3; ++priority) {
+        report.priorities.push_back({priority, 3.2, 0.4, {}});
+        for (uint32_t i = 0; i < daisymount::dispatch::DemandReport::MAX_ORGANISATIONS; ++i) {
+            report.priorities.back().largest.push_back({0xF0000000U + i, 1.5});
+        }
+    }
+    sent.demand.push_back({"jefi50b", report});
+    CHECK(encodeHeartbeat(sent).size() - before <= 200);
+    const auto ret = daisymount::framework::evaluate([&]() -> daisymount::framework::Result<void> {
+        BOOST_LEAF_AUTO(received, decodeHeartbeat(encodeHeartbeat(sent)));
+        STRCMP_EQUAL("jefi50b", received.demand.at(0).service.c_str());
+        const auto &priority = received.demand.at(0).demand.priorities.at(2);
+        LONGS_EQUAL(2, priority.priority);
+        DOUBLES_EQUAL(3.2, priority.perSecond, 0.01);
+        DOUBLES_EQUAL(0.4, priority.returningPerSecond, 0.01);
+        LONGS_EQUAL(0xF0000007U, priority.largest.at(7).hash);
+        return {};
+    });
+    CHECK(static_cast<bool>(ret));
+}
+
+TEST(PeerCodec, groupListIsUnchangedByEncodingAndDecodingAndTruncatedOnesAreRejected)
+{
+    const daisymount::dispatch::GroupList sent{35, 7, {{"s", "g0", {1, 0xFFFFFFFFU}}, {"s", "g1", {}}}};
+    const std::string bytes = encodeGroupList(sent);
+    CHECK(isGroupList(bytes));
+    const auto decode = [](std::string_view message) {
+        return daisymount::framework::evaluate([&]() -> daisymount::framework::Result<void> {
+            BOOST_LEAF_AUTO(received, decodeGroupList(message));
+            LONGS_EQUAL(35, received.term);
+            LONGS_EQUAL(7, received.revision);
+            LONGS_EQUAL(0xFFFFFFFFU, received.groups.at(0).ranks.at(1));
+            return {};
+        });
+    };
+    CHECK(static_cast<bool>(decode(bytes)));
+    for (size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(static_cast<bool>(decode(std::string_view(bytes).substr(0, length))));
+    }
+}
+
 TEST(PeerCodec, leavingUpstreamsAreUnchangedByEncodingAndDecoding)
 {
     const Heartbeat sent{peer("1"), {}, {{"u1", 1'700'000'000'123, milliseconds{250}}, {"u2", 5, milliseconds{0}}}};
