gateway, expertmap: place by rank group, admit adaptively, copies by the time until demand moves

Cause: three groups behind one service were one group to placement and admission, and a change of a map could copy for 150 ms only, one expert of 420 MB per rank, so that maps never became even (skew of the passes 3.3). Change: the map controller publishes its groups and reads the reports of each alone; passes, silence, groups down and requests in flight are kept by group; waitForGroup() asks ServiceAdmission. For such services copiesPerRank() weighs the evenness of copies against the measured time between shifts of demand, copies are divided between all sets, samples are read while ranks copy, and the gain of a map is judged on held-out samples.

--- a/src/expertmap/mapsearch.h
+++ b/src/expertmap/mapsearch.h
@@ -25,11 +25,25 @@
     int maxAddedPerRank = 0; ///< Over all sets.
     double copyCost = 0.0; ///< Reduction of the skew required for each copied expert.
     int maxProposalsPerSet = 4'000;
+    bool spreadCopies = false; ///< Divide the copies of each rank between the sets, instead of giving them to the sets that are searched first.
 };
 
 /// Returns how many experts a rank can copy in @p limit, at least 1.
 int copiesWithin(framework::Duration limit, framework::Duration copyTime);
 
+/// Mean skew of @p map over its sets and @p samples; 1 without samples.
+double meanMapSkew(const GroupMap &map, int experts, std::span<const LoadSample> samples);
+
+/// Samples to search with, and others that show how well the result fits demand that it was not fitted to.
+struct SplitSamples
+{
+    std::vector<LoadSample> training;
+    std::vector<LoadSample> heldOut;
+};
+
+/// Holds out every third sample.
+SplitSamples splitSamples(std::span<const LoadSample> samples);
+
 class MapSearch
 {
 public:
@@ -53,6 +67,8 @@
 private:
     void beginSet();
     void finishSet();
+    /// Copies that each rank may make for the current set.
+    std::vector<int> setAllowance();
 
     MapSearchOptions options_;
     GroupMap map_; ///< The sets before nextSet_ have been searched.
@@ -62,6 +78,7 @@
     std::optional<SamplePlacement> search_; ///< Of set_; empty when all sets have been searched.
     int proposals_ = 0; ///< Tried for set_.
     std::vector<int> allowance_; ///< Copies left, by rank.
+    std::vector<int> granted_; ///< Copies that the sets up to the current one may make together, by rank.
     double initialSkewSum_ = 0.0;
     double skewSum_ = 0.0;
     int copies_ = 0;
--- a/src/expertmap/tests/mapsearch_tests.cpp
+++ b/src/expertmap/tests/mapsearch_tests.cpp
@@ -121,3 +121,28 @@
     LONGS_EQUAL(1, copiesWithin(milliseconds{150}, milliseconds{400}));
     CHECK(copiesWithin(milliseconds{150}, milliseconds{0}) > 1'000'000);
 }
+
+/// Guards against giving all copies to the sets that are searched first, which leaves the others uneven.
+TEST(MapSearch, spreadCopiesReachAllSets)
+{
+    MapSearchOptions options = optionsWith(2);
+    options.spreadCopies = true;
+    const GroupMap before = initialMap();
+    MapSearch search(options, before, skewedSamples(5), 5);
+    while (search.improve(1'000)) { }
+    for (size_t set = 0; set < SETS; ++set) {
+        CHECK(search.map()[set] != before[set]);
+    }
+    for (size_t rank = 0; rank < static_cast<size_t>(RANKS); ++rank) {
+        CHECK(copiesOf(search.map(), before, rank) <= 2);
+    }
+}
+
+TEST(MapSearch, heldOutSamplesAreNotSearchedWith)
+{
+    const SplitSamples split = splitSamples(skewedSamples(5));
+    LONGS_EQUAL(16, split.training.size());
+    LONGS_EQUAL(8, split.heldOut.size());
+    CHECK(meanMapSkew(initialMap(), EXPERTS, split.heldOut) > 1.5);
+    DOUBLES_EQUAL(1.0, meanMapSkew(initialMap(), EXPERTS, {}), 1e-9);
+}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,6 +54,7 @@
     struct Attempt
     {
         dispatch::Placement placement;
+        std::string group; ///< Key of the upstream's rank group, or the service.
         PooledConnection pooled;
         transport::HttpReader reader;
         bool headReceived = false;
@@ -77,6 +78,12 @@
     transport::asio::awaitable<bool> forwardRequest();
     /// Waits until the engines of the service admit the request. Returns an empty value on admission, else the Retry-After time.
     transport::asio::awaitable<std::optional<milliseconds>> waitForEngineSlot();
+    /// The same for services with adaptive admission; chooses the rank group as well.
+    transport::asio::awaitable<std::optional<milliseconds>> waitForGroup();
+    /// Chooses another rank group for a retry if the service has several ones.
+    void changeGroup(Instant now);
+    /// Selects an upstream of the chosen rank group, or of any other if that one has none left.
+    dispatch::PlacementDecision placeAttempt(bool firstAttempt, Instant now);
     transport::asio::awaitable<AttemptOutcome> runAttempt(dispatch::Placement placement);
     transport::asio::awaitable<AttemptOutcome> sendAndRelay(Attempt &attempt);
     transport::asio::awaitable<bool> sendRequest(Attempt &attempt);
@@ -102,7 +109,7 @@
     void recordProgress(const Attempt &attempt, Instant now);
     transport::asio::awaitable<bool> relayAvailable(Attempt &attempt);
     /// Reports the time between events, from which the duration of an engine's forward pass is estimated.
-    void recordEventTimes(Instant now);
+    void recordEventTimes(const Attempt &attempt, Instant now);
     void finishAttempt(Attempt &attempt, AttemptOutcome outcome);
     bool canRetry(AttemptOutcome outcome) const;
     /// Returns the remaining quarantine time if the request or a part of its prompt is known to crash upstreams, else an empty value.
@@ -149,6 +156,7 @@
     fleet::RouteMatch match_;
     std::string contentType_; ///< Of the stream that is being relayed.
     std::string service_;
+    std::string group_; ///< Key of the rank group chosen by adaptive admission, else empty.
     std::string organisation_;
     std::optional<int> priority_;
     crashattribution::Fingerprint fingerprint_ = 0; ///< Identical when the caller sends the same request again.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -6,6 +6,7 @@
 #include "dispatch/completiontimes.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/engineadmission.h"
+#include "dispatch/groupdirectory.h"
 #include "dispatch/passpace.h"
 #include "dispatch/retrydelay.h"
 #include "dispatch/retryshare.h"
@@ -15,6 +16,7 @@
 #include "gateway/crashwatch.h"
 #include "gateway/gatewaylog.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/loadcontrol.h"
 #include "gateway/upstreampool.h"
 #include "peers/peertable.h"
 #include "transport/httpcaller.h"
@@ -32,6 +34,7 @@
     transport::asio::any_io_executor executor;
     fleet::FleetView view;
     dispatch::Dispatcher dispatcher;
+    dispatch::GroupDirectory groups; ///< Empty if engines are admitted by slots.
     dispatch::EngineAdmission admission;
     dispatch::RetryDetector retryDetector;
     dispatch::RetryDelay retryDelay;
@@ -46,12 +49,15 @@
     CrashDetector crashDetector;
     GatewayLog log;
     GatewayMetrics metrics;
+    LoadControl loadControl;
     std::mt19937 random;
     std::function<void(crashattribution::Fingerprint)> onConvicted
         = [](crashattribution::Fingerprint) {}; ///< Called when a request is convicted of crashing upstreams, by this gateway or by another one.
     std::function<void(crashattribution::Fingerprint)> onConvictionLifted
         = [](crashattribution::Fingerprint) {}; ///< Called when an upstream's response ends a conviction.
 
+    std::function<void(dispatch::GroupList)> onGroupList
+        = [](const dispatch::GroupList &) {}; ///< Called with a list of rank groups that may be newer than groups.
     std::function<void()> onCrashRecorded = [] {}; ///< Called when this gateway has found that an upstream crashed.
 
     std::set<crashattribution::Fingerprint> trials; ///< Suspects that this gateway is trying at an upstream.
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -25,6 +25,8 @@
     void onStreamPause(std::string_view route, framework::Duration pause);
     /// Records an attempt to send a request to an upstream. @p result is the name of its outcome.
     void onAttempt(std::string_view service, std::string_view result);
+    /// Records a request to engines that was refused for the load. @p reason is that of dispatch::ServiceDecision.
+    void onAdmission(std::string_view route, std::string_view reason);
     /// Records a retry. @p allowed is false when the retry budget denied it.
     void onRetry(std::string_view service, bool allowed);
     /// Records a call to the store. @p result is "ok", the name of a result code, an HTTP status or "no_reply".
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -104,6 +104,9 @@
     }
     context_.dispatcher.onFinished(attempt.placement.upstream, result, attempt.timeToHead, now);
     context_.metrics.onAttempt(service_, toString(outcome));
+    if (outcome == AttemptOutcome::Answered && attempt.streaming && context_.loadControl.isAdaptive(service_)) {
+        context_.loadControl.admission(service_).onCompleted(now - attempt.startedAt);
+    }
     if (attempt.silenceId) {
         context_.silenceDetector.onEnded(*attempt.silenceId, now);
     }
@@ -143,6 +146,7 @@
                          {{"upstream", attempt.placement.upstream},
                           {"born_ms", std::to_string(attempt.placement.bornMs)},
                           {"address", attempt.placement.address},
+                          {"group", attempt.group},
                           {"fingerprint", crashattribution::toText(fingerprint_)},
                           {"prompt_parts", promptPartsText()},
                           {"connection", std::string(connectionState(attempt.pooled.connection.get()))},
@@ -155,7 +159,7 @@
                           {"head_ms", std::to_string(toMilliseconds(attempt.timeToHead).count())},
                           {"events", std::to_string(events_.eventsWithData() - attempt.eventsAtStart)},
                           {"upstream_silent_ms", millisecondsText(context_.dispatcher.silence(attempt.placement.upstream, now))},
-                          {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(service_, now))},
+                          {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(attempt.group, now))},
                           {"ms", std::to_string(toMilliseconds(now - attempt.startedAt).count())}}});
 }
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -21,8 +21,6 @@
 constexpr milliseconds MAX_STREAM_DURATION = std::chrono::hours{24};
 /// With less time left than this, an attempt could not complete before the deadline.
 constexpr milliseconds MIN_ATTEMPT_TIME{20};
-/// Interval at which a waiting request asks for admission again.
-constexpr milliseconds SLOT_POLL_INTERVAL{12};
 /// Time before its exit at which a gateway answers the requests of which it has relayed nothing yet.
 constexpr milliseconds FINAL_ANSWER_TIME{250};
 /// Retry-After for a request that is refused when its time is over.
@@ -118,55 +116,6 @@
     return services.back().service;
 }
 
-asio::awaitable<std::optional<milliseconds>> Exchange::waitForEngineSlot()
-{
-    const Instant begin = framework::monotonicNow();
-    const milliseconds stated = request_.headers.deadline.value_or(milliseconds{0});
-    const bool isRetry = context_.retryDetector.isRetry(match_.route->name, stated, begin);
-    const auto service = match_.config->services.find(service_);
-    const bool profiled = service != match_.config->services.end() && service->second.engine;
-    const int slotsPerEngine = profiled ? service->second.engine->slots : 0;
-    while (true) {
-        const Instant now = framework::monotonicNow();
-        const dispatch::EngineLoad load = context_.dispatcher.engineLoad(service_, now);
-        dispatch::AdmissionView view;
-        view.inFlight = load.inFlight + context_.peers.inFlightOfOthers(service_, now);
-        view.ownInFlight = load.inFlight;
-        view.entries = static_cast<int>(context_.peers.serving(now).size()) + 1;
-        view.engines = load.usable;
-        view.slotsPerEngine = slotsPerEngine;
-        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
-        view.passTimeKnown = passTime.has_value();
-        context_.passTimeTracker.onRequests(service_, load.inFlight, now);
-        view.groupDown = context_.peers.groupDown(service_, now) || context_.passTimeTracker.stalled(service_, now);
-        view.groupSilent = match_.route->kind == fleet::RequestKind::Stream && context_.silenceDetector.isServiceSilent(service_, now);
-        view.groupProgressing = context_.passTimeTracker.progressing(service_, now);
-        view.isRetry = isRetry;
-        view.waited = now - begin;
-        view.left = deadline_ - now;
-        const dispatch::AdmissionDecision decision = context_.admission.decide(view);
-        if (decision.admission == dispatch::Admission::Admit || load.usable == 0 || callerDisconnected_ || now >= answerLimit()) {
-            co_return std::nullopt;
-        }
-        if (decision.admission == dispatch::Admission::Refuse) {
-            context_.log.report({"admission",
-                                 "refused",
-                                 ResultCode::UpstreamFull,
-                                 request_.headers.requestId,
-                                 {{"in_flight", std::to_string(view.inFlight)},
-                                  {"engines", std::to_string(view.engines)},
-                                  {"pass_ms", std::to_string(passTime ? toMilliseconds(*passTime).count() : 0)},
-                                  {"group_down", view.groupDown && !view.groupProgressing ? "yes" : "no"},
-                                  {"group_silent", view.groupSilent ? "yes" : "no"},
-                                  {"returning", isRetry ? "yes" : "no"},
-                                  {"waited_ms", std::to_string(toMilliseconds(view.waited).count())},
-                                  {"retry_after_ms", std::to_string(decision.retryAfter.count())}}});
-            co_return decision.retryAfter;
-        }
-        co_await transport::sleepFor(SLOT_POLL_INTERVAL);
-    }
-}
-
 asio::awaitable<bool> Exchange::forwardRequest()
 {
     if (const std::optional<milliseconds> timeLeft = quarantineTimeLeft(framework::monotonicNow())) {
@@ -179,7 +128,12 @@
         co_return co_await sendRefusal(ResultCode::AwaitingTrial, *delay);
     }
     if (context_.dispatcher.hasEngines(service_)) {
-        const std::optional<milliseconds> timeLeft = co_await waitForEngineSlot();
+        std::optional<milliseconds> timeLeft;
+        if (context_.loadControl.isAdaptive(service_)) {
+            timeLeft = co_await waitForGroup();
+        } else {
+            timeLeft = co_await waitForEngineSlot();
+        }
         if (timeLeft) {
             co_return co_await sendRefusal(ResultCode::UpstreamFull, *timeLeft);
         }
@@ -218,8 +172,10 @@
             minRetryAfter = *delayBeforeExit;
             break;
         }
-        const std::vector<std::string> silent = context_.silenceDetector.silentUpstreams(service_, now);
-        auto decision = context_.dispatcher.place({service_, triedUpstreams_, sendCount == 0, silent, trial_}, now);
+        if (sendCount > 0) {
+            changeGroup(now);
+        }
+        auto decision = placeAttempt(sendCount == 0, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sendCount == 0 ? refusal->code : ResultCode::UpstreamFull;
             minRetryAfter = refusal->retryAfter;
@@ -271,7 +227,7 @@
     dispatch::RequestLength request{route.name, deadline_, std::nullopt, request_.headers.maxAnswerTokens};
     const auto service = match_.config->services.find(service_);
     if (route.kind == fleet::RequestKind::Stream && request.statedTokens > 0 && service != match_.config->services.end() && service->second.engine) {
-        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
+        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(group_.empty() ? service_ : group_, now);
         request.stated
             = dispatch::longestStream({request.statedTokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
     }
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -93,7 +93,11 @@
 asio::awaitable<AttemptOutcome> Exchange::runAttempt(dispatch::Placement placement)
 {
     const bool nonIdempotent = !match_.route->idempotent();
-    Attempt attempt{placement, {}, transport::HttpReader(transport::HttpReader::MessageType::Response, RESPONSE_HEAD_LIMIT, RESPONSE_BODY_LIMIT)};
+    const std::string_view group = context_.dispatcher.groupOf(placement.upstream);
+    Attempt attempt{placement,
+                    std::string(group.empty() ? std::string_view(service_) : group),
+                    {},
+                    transport::HttpReader(transport::HttpReader::MessageType::Response, RESPONSE_HEAD_LIMIT, RESPONSE_BODY_LIMIT)};
     attempt.startedAt = framework::monotonicNow();
     attempt.callerOpenAtStart = caller_->open();
     attempt.eventsAtStart = events_.eventsWithData();
@@ -111,7 +115,7 @@
     if (attempt.pooled.connection && !callerDisconnected_ && mayStillSend) {
         upstreamConnection_ = attempt.pooled.connection;
         if (match_.route->kind == fleet::RequestKind::Stream && context_.dispatcher.hasEngines(service_)) {
-            attempt.silenceId = context_.silenceDetector.onSent(service_, placement.upstream, framework::monotonicNow());
+            attempt.silenceId = context_.silenceDetector.onSent(attempt.group, placement.upstream, framework::monotonicNow());
         }
         outcome = co_await sendAndRelay(attempt);
     } else {
@@ -375,7 +379,12 @@
     if (events_.eventsWithData() > known) {
         attempt.lastProgressAt = now;
         recordProgress(attempt, now);
-        attempt.firstEventAt = attempt.firstEventAt == Instant{0} ? now : attempt.firstEventAt;
+        if (attempt.firstEventAt == Instant{0}) {
+            attempt.firstEventAt = now;
+            if (attempt.streaming && context_.loadControl.isAdaptive(service_)) {
+                context_.loadControl.admission(service_).onFirstEvent(now - attempt.startedAt);
+            }
+        }
         clearIfOutlived(attempt, now);
     }
     if (ready.empty()) {
@@ -385,7 +394,7 @@
         timeToFirstByte_ = now - request_.receivedAt;
     }
     if (attempt.streaming) {
-        recordEventTimes(now);
+        recordEventTimes(attempt, now);
     }
     if (!relay_.started()) {
         contentType_ = transport::findField(attempt.reader.fields(), "Content-Type");
@@ -395,12 +404,15 @@
     co_return co_await relay_.sendChunk(ready);
 }
 
-void Exchange::recordEventTimes(Instant now)
+void Exchange::recordEventTimes(const Attempt &attempt, Instant now)
 {
     // The time before the first event is queueing and prompt processing and does not measure a forward pass.
     const int passes = eventsRecorded_ > 0 ? events_.eventCount() - eventsRecorded_ : 0;
-    context_.passTimeTracker.onEvents(service_, now - lastRecordedAt_, passes, now);
+    context_.passTimeTracker.onEvents(attempt.group, now - lastRecordedAt_, passes, now);
     if (passes > 0) {
+        if (context_.loadControl.isAdaptive(service_)) {
+            context_.loadControl.onPass(service_, attempt.group, (now - lastRecordedAt_) / passes, now);
+        }
         longestPause_ = std::max(longestPause_, now - lastRecordedAt_);
     }
     eventsRecorded_ = events_.eventCount();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -74,6 +74,7 @@
     , crashes({.seed = seed})
     , crashDetector(*this)
     , log({settings.name, settings.zone})
+    , loadControl(*this, seed)
     , random(static_cast<unsigned>(seed))
 {
     view.onMalformedUpstream = [this](const fleet::StoredItem &item) {
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -29,6 +29,10 @@
         = prometheus::BuildCounter().Name("daisymount_requests_total").Help("Requests by route and outcome.").Register(registry);
     prometheus::Family<prometheus::Counter> &attempts
         = prometheus::BuildCounter().Name("daisymount_attempts_total").Help("Requests sent to upstreams by service and result.").Register(registry);
+    prometheus::Family<prometheus::Counter> &admissions = prometheus::BuildCounter()
+                                                              .Name("daisymount_admission_refusals_total")
+                                                              .Help("Requests refused for the load of their service, by route and reason.")
+                                                              .Register(registry);
     prometheus::Family<prometheus::Counter> &retries = prometheus::BuildCounter()
                                                            .Name("daisymount_repeats_total")
                                                            .Help("Requests to be sent once more by service and the budget's word.")
@@ -80,6 +84,11 @@
     families_->attempts.Add({{"service", std::string(service)}, {"result", std::string(result)}}).Increment();
 }
 
+void GatewayMetrics::onAdmission(std::string_view route, std::string_view reason)
+{
+    families_->admissions.Add({{"route", std::string(route)}, {"reason", std::string(reason)}}).Increment();
+}
+
 void GatewayMetrics::onRetry(std::string_view service, bool allowed)
 {
     families_->retries.Add({{"service", std::string(service)}, {"budget", allowed ? "allowed" : "denied"}}).Increment();
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -59,10 +59,12 @@
         if (termFencing_ != lease_.fencing()) {
             // Discard the state from an earlier term, since another controller may have changed it.
             termFencing_ = lease_.fencing();
+            groupsRevision_ = 0;
             refreshedAt_.clear();
             for (auto &[name, group] : groups_) {
                 group->change.reset();
                 group->reportsStale = true;
+                group->refreshDueAt = Instant{0};
                 group->samples.onNewEpoch();
                 group->map.clear();
                 group->mapUnknown = true;
@@ -73,20 +75,14 @@
             if (!service.engine || !service.engine->experts) {
                 continue;
             }
-            const auto known = [wanted = name](const auto &entry) { return entry.second->service == wanted; };
-            const auto reportsStale = [wanted = name](const auto &entry) { return entry.second->service == wanted && entry.second->reportsStale; };
-            const bool readAgain = std::ranges::none_of(groups_, known) || std::ranges::any_of(groups_, reportsStale);
-            const Instant due = refreshedAt_[name] + refreshInterval();
-            if (readAgain && framework::monotonicNow() >= due) {
-                co_await refreshReports(name);
-            }
+            co_await refreshStaleReports(name, framework::monotonicNow());
         }
         const Instant now = framework::monotonicNow();
         std::vector<std::string> down;
         for (auto &[name, group] : groups_) {
             step(group, now);
             if (group->down) {
-                down.push_back(group->service);
+                down.push_back(hasSeveralGroups(group->service) ? dispatch::groupKey(group->service, name) : group->service);
             }
         }
         context_.fastUpstreamPolling
@@ -111,7 +107,85 @@
     co_return report;
 }
 
-asio::awaitable<void> MapController::refreshReports(std::string service)
+bool MapController::hasSeveralGroups(std::string_view service) const
+{
+    return std::ranges::count_if(groups_, [&](const auto &entry) { return entry.second->service == service; }) > 1;
+}
+
+asio::awaitable<void> MapController::refreshStaleReports(const std::string &service, Instant now)
+{
+    if (!hasSeveralGroups(service)) {
+        const auto known = [&](const auto &entry) { return entry.second->service == service; };
+        const auto reportsStale = [&](const auto &entry) { return entry.second->service == service && entry.second->reportsStale; };
+        const bool readAgain = std::ranges::none_of(groups_, known) || std::ranges::any_of(groups_, reportsStale);
+        if (readAgain && now >= refreshedAt_[service] + refreshInterval()) {
+            co_await refreshReports(service);
+        }
+        co_return;
+    }
+    for (const auto &[name, group] : groups_) {
+        if (group->service == service && group->reportsStale && !group->refreshing && now >= group->refreshDueAt) {
+            group->refreshing = true;
+            transport::spawnTask(context_.executor, "refresh_group", refreshGroup(group), [group] { group->refreshing = false; });
+        }
+    }
+}
+
+asio::awaitable<void> MapController::refreshGroup(std::shared_ptr<Group> group)
+{
+    group->refreshDueAt = framework::monotonicNow() + refreshInterval();
+    co_await refreshReports(group->service, group->name);
+    group->refreshing = false;
+}
+
+std::vector<std::string> MapController::upstreamsToRead(const std::string &service, const std::string &groupName) const
+{
+    std::vector<std::string> wanted;
+    for (const auto &[id, known] : context_.view.upstreams()) {
+        if (known.upstream.service != service) {
+            continue;
+        }
+        const auto isMember
+            = [&, &upstream = id](const auto &entry) { return std::ranges::find(entry.second->members, upstream) != entry.second->members.end(); };
+        const auto owner = std::ranges::find_if(groups_, isMember);
+        // A replaced rank has an id that belongs to no group yet.
+        if (groupName.empty() || owner == groups_.end() || owner->second->name == groupName) {
+            wanted.push_back(id);
+        }
+    }
+    return wanted;
+}
+
+void MapController::publishGroups()
+{
+    dispatch::GroupList list{termFencing_, groupsRevision_ + 1, {}};
+    const std::vector<dispatch::GroupMembers> &published = context_.groups.list().groups;
+    for (const auto &[name, group] : groups_) {
+        dispatch::GroupMembers members{group->service, name, {}};
+        const auto same = std::ranges::find_if(published, [&](const auto &other) { return other.service == members.service && other.group == members.group; });
+        if (!group->ranks.empty()) {
+            for (const RankIdentity &rank : group->ranks) {
+                members.ranks.push_back(dispatch::upstreamHash(rank.upstream));
+            }
+        } else if (same != published.end()) {
+            members.ranks = same->ranks; // Incomplete: the last complete list holds until the rank is back.
+        } else {
+            for (const std::string &upstream : group->members) {
+                members.ranks.push_back(dispatch::upstreamHash(upstream));
+            }
+        }
+        list.groups.push_back(std::move(members));
+    }
+    if (context_.groups.list().term == termFencing_ && list.groups == published) {
+        return;
+    }
+    ++groupsRevision_;
+    context_.log.report(
+        {"maps", "groups_published", ResultCode::Ok, "", {{"groups", std::to_string(list.groups.size())}, {"revision", std::to_string(list.revision)}}});
+    context_.onGroupList(std::move(list));
+}
+
+asio::awaitable<void> MapController::refreshReports(std::string service, std::string groupName)
 {
     struct Reading
     {
@@ -121,10 +195,7 @@
     const auto reading = std::make_shared<Reading>();
     refreshedAt_[service] = framework::monotonicNow();
     const auto config = context_.view.config();
-    for (const auto &[id, known] : context_.view.upstreams()) {
-        if (known.upstream.service != service) {
-            continue;
-        }
+    for (const std::string &id : upstreamsToRead(service, groupName)) {
         ++reading->outstanding;
         transport::spawnTask(
             context_.executor, "read_report",
@@ -142,12 +213,13 @@
     }
     const auto found = config->services.find(service);
     if (found != config->services.end() && found->second.engine && found->second.engine->experts) {
-        applyReports(service, *found->second.engine->experts, reading->reports);
+        applyReports(service, groupName, *found->second.engine->experts, reading->reports);
+        publishGroups();
     }
     co_await transport::sleepFor(LOOP_INTERVAL);
 }
 
-void MapController::applyReports(const std::string &service, const fleet::ExpertLayout &layout,
+void MapController::applyReports(const std::string &service, const std::string &groupName, const fleet::ExpertLayout &layout,
                                  const std::vector<std::pair<std::string, expertmap::RankReport>> &reports)
 {
     std::map<std::string, std::vector<std::pair<std::string, expertmap::RankReport>>> byGroup;
@@ -155,6 +227,14 @@
         byGroup[entry.second.group].push_back(entry);
     }
     for (const auto &[name, members] : byGroup) {
+        // Upstreams without a group were read as well. They tell nothing about the groups whose other ranks were not read.
+        if (!groupName.empty() && name != groupName && groups_.contains(name)) {
+            groups_[name]->reportsStale = true;
+            for (const auto &[upstream, report] : members) {
+                groups_[name]->members.push_back(upstream);
+            }
+            continue;
+        }
         auto &group = groups_[name];
         if (!group) {
             group = std::make_shared<Group>();
@@ -165,7 +245,7 @@
         applyGroupReports(*group, members);
     }
     for (auto &[name, group] : groups_) {
-        if (group->service == service && !byGroup.contains(name)) {
+        if (group->service == service && !byGroup.contains(name) && (groupName.empty() || name == groupName)) {
             group->ranks.clear();
             group->reportsStale = true;
             group->down = true;
@@ -179,12 +259,14 @@
     group.lastRefresh = now;
     group.passStallDetector.onReportsRead(now);
     group.ranks.clear();
+    group.members.clear();
     const auto size = static_cast<size_t>(members.front().second.groupSize);
     std::vector<RankIdentity> ranks(size);
     std::vector<expertmap::RankReport> reports(size);
     int64_t epoch = 0;
     bool complete = members.size() == size;
     for (const auto &[upstream, report] : members) {
+        group.members.push_back(upstream);
         const auto known = context_.view.upstreams().find(upstream);
         if (report.rank < 0 || static_cast<size_t>(report.rank) >= size || known == context_.view.upstreams().end()) {
             complete = false;
@@ -205,6 +287,7 @@
     if (!complete) {
         group.reportsStale = true;
         refreshedAt_[group.service] = now - refreshInterval() + DOWN_REFRESH_INTERVAL;
+        group.refreshDueAt = now + DOWN_REFRESH_INTERVAL;
         return;
     }
     const bool anyArmed = std::ranges::any_of(reports, [](const auto &report) { return report.armedVersion.has_value(); });
@@ -225,6 +308,7 @@
         group.mapUnknown = true;
         group.reportsStale = true;
         refreshedAt_[group.service] = now - refreshInterval() + ARMED_REFRESH_INTERVAL;
+        group.refreshDueAt = now + ARMED_REFRESH_INTERVAL;
         return;
     }
     group.mapUnknown = false;
@@ -323,6 +407,11 @@
             group->reportsStale = group->reportsStale || now - group->lastRefresh > CHANGE_REFRESH_INTERVAL;
         }
         driveChange(group, now);
+        const bool copying = group->change && group->change->phase() == expertmap::SwitchPhase::Preparing;
+        if (copying && !group->ranks.empty() && context_.loadControl.isAdaptive(group->service)) {
+            // Copies take longer than demand stays the same: the next plan needs samples from the time of the copies.
+            readSamples(group, now);
+        }
         return;
     }
     if (group->ranks.empty()) {
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds REMOTE_SAMPLE_INTERVAL{1'000};
 /// Ratio of the skew of the newest samples to the planned skew above which the demand has shifted to other experts.
 constexpr double SHIFT_RATIO = 1.15;
+/// The same ratio above which a large part of the demand has moved. A map that is planned on few samples is well above its planned skew at once.
+constexpr double MOVED_RATIO = 1.4;
 constexpr double MEGABYTES_PER_GIGABYTE = 1'000.0;
 /// Weight of the newest measurement in the average pass time.
 constexpr double PASS_TIME_WEIGHT = 0.2;
@@ -39,19 +41,20 @@
 constexpr int PROPOSALS_PER_SLICE = 1'000;
 /// Time that a change may take to copy experts to one rank. The switch waits for the slowest rank, and demand moves in the meantime.
 constexpr milliseconds MAX_COPY_TIME{150};
-/// Number of the newest samples that a map is planned on after demand has shifted; older ones show the earlier demand.
+/// Time of the search, the orders and the switch of a change, beside its copies.
+constexpr milliseconds SWITCH_TIME{600};
+/// Number of the newest samples that a map is planned on.
+constexpr size_t SAMPLES = 24;
+constexpr size_t ADAPTIVE_SAMPLES = 30;
+/// The same after demand has shifted; older ones show the earlier demand.
 constexpr size_t SAMPLES_AFTER_SHIFT = 12;
+/// The same where copies take long: a map that fits few samples only is not worth them.
+constexpr size_t ADAPTIVE_SAMPLES_AFTER_SHIFT = 20;
 /// Time without a sample, although the group has requests, after which this is logged.
 constexpr milliseconds MAX_SAMPLE_GAP{2'000};
 /// Time for which a planned change waits until all ranks use the map of the change before it.
 constexpr milliseconds MAX_SETTLE_WAIT{400};
 
-/// Minimum gain of a change. Copying experts slows the passes down in the meantime, and its traffic is billed.
-struct ChangeThresholds
-{
-    double minGain; ///< Minimum predicted reduction of the skew.
-    double costPerGigabyte; ///< Reduction of the skew required for each copied gigabyte.
-};
 /// For short passes: load skew has no noticeable effect on requests.
 constexpr ChangeThresholds SHORT_PASS_THRESHOLDS{0.3, 0.038};
 /// For passes close to the permitted pause of a stream: balance is most valuable there.
@@ -69,26 +72,31 @@
 }
 } // namespace
 
+ChangeThresholds MapController::changeThresholds(const Group &group) const
+{
+    // Adaptive limits admit as many requests as the skew of the map permits, so that evenness counts at any pass time.
+    return context_.loadControl.isAdaptive(group.service) ? LONG_PASS_THRESHOLDS : thresholdsAt(group.passTime / maxPause(group.service));
+}
+
 std::vector<expertmap::LoadSample> MapController::samplesToPlanOn(const Group &group) const
 {
     const auto &samples = group.samples.samples();
-    const size_t used = demandShifted(group) ? std::min(samples.size(), SAMPLES_AFTER_SHIFT) : samples.size();
+    const bool adaptive = context_.loadControl.isAdaptive(group.service);
+    const size_t most = demandShifted(group) ? (adaptive ? ADAPTIVE_SAMPLES_AFTER_SHIFT : SAMPLES_AFTER_SHIFT) : (adaptive ? ADAPTIVE_SAMPLES : SAMPLES);
+    const size_t used = std::min(samples.size(), most);
     return {samples.end() - static_cast<std::ptrdiff_t>(used), samples.end()};
 }
 
 bool MapController::demandShifted(const Group &group) const
+{
+    return newestSkew(group) > SHIFT_RATIO * group.plannedSkew;
+}
+
+double MapController::newestSkew(const Group &group) const
 {
     const auto &samples = group.samples.samples();
     const auto newest = static_cast<std::ptrdiff_t>(std::min<size_t>(samples.size(), SAMPLES_PER_PLAN));
-    double skew = 0.0;
-    for (int set = 0; set < group.layout.sets; ++set) {
-        std::vector<expertmap::SetSample> loads;
-        for (auto sample = samples.end() - newest; sample != samples.end(); ++sample) {
-            loads.push_back((*sample)[static_cast<size_t>(set)]);
-        }
-        skew += expertmap::meanSampleSkew(group.map[static_cast<size_t>(set)], group.layout.experts, loads) / group.layout.sets;
-    }
-    return skew > SHIFT_RATIO * group.plannedSkew;
+    return expertmap::meanMapSkew(group.map, group.layout.experts, std::vector<expertmap::LoadSample>(samples.end() - newest, samples.end()));
 }
 
 void MapController::readSamples(const std::shared_ptr<Group> &group, Instant now)
@@ -203,48 +211,85 @@
     group->planning = false;
 }
 
+expertmap::MapSearchOptions MapController::searchOptions(Group &group, Instant now)
+{
+    expertmap::MapSearchOptions options;
+    options.experts = group.layout.experts;
+    options.maxExpertsPerRank = group.layout.placements;
+    options.maxAddedPerRankAndSet = group.layout.spares;
+    options.copyCost = changeThresholds(group).costPerGigabyte * group.layout.megabytesPerExpert / MEGABYTES_PER_GIGABYTE;
+    if (!context_.loadControl.isAdaptive(group.service)) {
+        options.maxAddedPerRank = expertmap::copiesWithin(MAX_COPY_TIME, group.layout.copyTime);
+        return options;
+    }
+    if (group.mapVersion > 0 && newestSkew(group) > MOVED_RATIO * group.plannedSkew) {
+        group.demandShifts.onShifted(now);
+    }
+    options.spreadCopies = true;
+    options.maxAddedPerRank
+        = expertmap::copiesPerRank({group.layout.copyTime, group.demandShifts.untilNextShift(now), SWITCH_TIME, group.layout.sets, group.layout.spares});
+    return options;
+}
+
 asio::awaitable<void> MapController::searchAndBeginChange(std::shared_ptr<Group> group)
 {
     const int64_t epoch = group->epoch;
     const int64_t version = group->mapVersion;
     const int64_t term = termFencing_;
-    // Work on copies, because the group may restart with other ranks during the search.
-    const fleet::ExpertLayout layout = group->layout;
-    const ChangeThresholds thresholds = thresholdsAt(group->passTime / maxPause(group->service));
-    expertmap::MapSearchOptions options;
-    options.experts = layout.experts;
-    options.maxExpertsPerRank = layout.placements;
-    options.maxAddedPerRankAndSet = layout.spares;
-    options.maxAddedPerRank = expertmap::copiesWithin(MAX_COPY_TIME, layout.copyTime);
-    options.copyCost = thresholds.costPerGigabyte * layout.megabytesPerExpert / MEGABYTES_PER_GIGABYTE;
-    expertmap::MapSearch search(options, group->map, samplesToPlanOn(*group), context_.random());
+    const Instant searchBegun = framework::monotonicNow();
+    const expertmap::MapSearchOptions options = searchOptions(*group, searchBegun);
+    const double minGain = changeThresholds(*group).minGain;
+    // A map fits the samples that it was searched with better than any others. Where copies are worth their time only if they keep their promise,
+    // the gain is judged on samples that were held out.
+    const bool adaptive = context_.loadControl.isAdaptive(group->service);
+    expertmap::SplitSamples samples;
+    if (adaptive) {
+        samples = expertmap::splitSamples(samplesToPlanOn(*group));
+    } else {
+        samples.training = samplesToPlanOn(*group);
+    }
+    const expertmap::GroupMap oldMap = group->map;
+    expertmap::MapSearch search(options, oldMap, samples.training, context_.random());
     while (search.improve(PROPOSALS_PER_SLICE)) {
         co_await transport::sleepFor(milliseconds{1});
     }
     const Instant now = framework::monotonicNow();
     group->nextPlan = now + PLAN_INTERVAL;
-    group->plannedSkew = search.skew();
+    const double before = adaptive ? expertmap::meanMapSkew(oldMap, options.experts, samples.heldOut) : search.initialSkew();
+    const double after = adaptive ? expertmap::meanMapSkew(search.map(), options.experts, samples.heldOut) : search.skew();
+    group->plannedSkew = after;
     const bool stillValid = lease_.held() && termFencing_ == term && group->epoch == epoch && group->mapVersion == version && !group->mapUnknown
         && !group->change && !group->reportsStale;
-    const bool worthIt = stillValid && search.initialSkew() - search.skew() >= thresholds.minGain;
+    const bool worthIt = stillValid && before - after >= minGain;
+    if (adaptive && !worthIt) {
+        group->plannedSkew = before;
+    }
     context_.log.report({"maps",
                          worthIt ? "change_begun" : "map_kept",
                          ResultCode::Ok,
                          "",
                          {{"group", group->name},
-                          {"skew", std::to_string(search.initialSkew())},
-                          {"planned_skew", std::to_string(search.skew())},
+                          {"skew", std::to_string(before)},
+                          {"planned_skew", std::to_string(after)},
+                          {"fitted_skew", std::to_string(search.skew())},
                           {"copies", std::to_string(search.copies())},
                           {"copies_of_a_rank", std::to_string(search.maxCopiesOfARank())},
                           {"samples", std::to_string(group->samples.samples().size())},
                           {"pass_ms", std::to_string(toMilliseconds(group->passTime).count())},
-                          {"copy_cost", std::to_string(options.copyCost)}}});
+                          {"copy_cost", std::to_string(options.copyCost)},
+                          {"max_copies", std::to_string(options.maxAddedPerRank)},
+                          {"search_ms", std::to_string(toMilliseconds(now - searchBegun).count())},
+                          {"until_shift_ms", std::to_string(toMilliseconds(group->demandShifts.untilNextShift(now)).count())}}});
     if (!worthIt) {
         co_return;
     }
     // Read the reports again, because orders need the current order sequences and passes.
+    std::string groupName;
+    if (hasSeveralGroups(group->service)) {
+        groupName = group->name;
+    }
     do {
-        co_await refreshReports(group->service);
+        co_await refreshReports(group->service, groupName);
     } while (group->reportsStale && group->epoch == epoch && lease_.held() && framework::monotonicNow() - now < MAX_SETTLE_WAIT);
     if (!lease_.held() || termFencing_ != term || context_.draining || group->mapUnknown || group->reportsStale || group->leftoverHold || group->change
         || group->epoch != epoch || group->mapVersion != version || group->ranks.empty()) {
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -20,6 +20,9 @@
 /// Four heartbeats fit into the time after which a silent peer is considered dead.
 constexpr milliseconds HEARTBEAT_INTERVAL{300};
 constexpr size_t MAX_DATAGRAM_BYTES = 16 * 1024;
+/// Fraction of the members with an older list of rank groups to which a gateway sends its own when it hears of them. Each of them is heard by
+/// all members of its zone, and one answer is enough.
+constexpr double GROUP_LIST_ANSWERS = 0.25;
 
 asio::ip::udp::endpoint peerEndpoint(const std::string &ip, uint16_t port)
 {
@@ -38,6 +41,7 @@
 
 void PeerLink::start()
 {
+    context_.onGroupList = [this](dispatch::GroupList list) { applyGroupList(std::move(list), true); };
     context_.onCrashRecorded = [this] { broadcastCrashUpdate(context_.peers.targets(framework::monotonicNow())); };
     transport::spawnLoop(context_.executor, "send_heartbeats", [this] { return sendLoop(); });
     transport::spawnLoop(context_.executor, "receive_heartbeats", [this] { return receiveLoop(); });
@@ -60,14 +64,45 @@
     const Instant now = framework::monotonicNow();
     const auto sinceRead = std::chrono::duration_cast<milliseconds>(now - context_.upstreamsReadAt);
     context_.peers.self().storeReadAge = std::min(sinceRead, milliseconds{peers::Peer::NEVER_READ});
-    context_.peers.self().inFlight = context_.dispatcher.inFlightByService();
+    context_.peers.self().inFlight = context_.dispatcher.inFlightByGroup();
+    context_.peers.self().revisions.groupsTerm = context_.groups.list().term;
+    context_.peers.self().revisions.groups = context_.groups.list().revision;
     peers::Heartbeat heartbeat = context_.peers.heartbeat(now);
     heartbeat.leaving = context_.dispatcher.leavingToAnnounce(now);
+    heartbeat.demand = context_.loadControl.demand(now);
     const std::vector<std::string> targets = context_.peers.targets(now);
     send(peers::encodeHeartbeat(heartbeat), targets);
     broadcastCrashUpdate(targets);
 }
 
+void PeerLink::applyGroupList(dispatch::GroupList list, bool isOwn)
+{
+    if (context_.settings.admission == fleet::AdmissionMode::Slots || !context_.groups.update(std::move(list))) {
+        return;
+    }
+    context_.dispatcher.onGroupsChange(context_.groups);
+    const dispatch::GroupList &known = context_.groups.list();
+    context_.log.report(
+        {"members",
+         "groups_changed",
+         ResultCode::Ok,
+         "",
+         {{"term", std::to_string(known.term)}, {"revision", std::to_string(known.revision)}, {"groups", std::to_string(known.groups.size())}}});
+    if (isOwn) {
+        send(peers::encodeGroupList(known), context_.peers.targets(framework::monotonicNow()));
+    }
+}
+
+void PeerLink::answerOlderGroupList(const peers::Peer &peer)
+{
+    const dispatch::GroupList &known = context_.groups.list();
+    const bool older = known.isNewerThan({peer.revisions.groupsTerm, peer.revisions.groups, {}});
+    if (older && std::uniform_real_distribution<double>(0.0, 1.0)(context_.random) < GROUP_LIST_ANSWERS) {
+        const std::string target[] = {peer.ip};
+        send(peers::encodeGroupList(known), target);
+    }
+}
+
 void PeerLink::broadcastCrashUpdate(std::span<const std::string> targets)
 {
     const crashattribution::CrashUpdate update = context_.crashes.nextUpdate(framework::monotonicNow());
@@ -176,9 +211,16 @@
                 mergeCrashUpdate(update, from.address().to_string(), now);
                 return {};
             }
+            if (peers::isGroupList(message)) {
+                BOOST_LEAF_AUTO(list, peers::decodeGroupList(message));
+                applyGroupList(std::move(list), false);
+                return {};
+            }
             BOOST_LEAF_AUTO(heartbeat, peers::decodeHeartbeat(message));
             context_.peers.onHeartbeat(heartbeat, now);
             applyLeavingUpstreams(heartbeat, now);
+            context_.loadControl.onPeerDemand(heartbeat.sender.name, heartbeat.demand, now);
+            answerOlderGroupList(heartbeat.sender);
             return {};
         });
         if (!handled) {
--- /dev/null
+++ b/src/gateway/loadcontrol.h
@@ -0,0 +1,48 @@
+// Admits requests to services with adaptive admission: gathers what this gateway knows of their rank groups for dispatch::ServiceAdmission.
+
+#pragma once
+
+#include "dispatch/serviceadmission.h"
+#include "fleet/fleettypes.h"
+#include "peers/peertypes.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisymount::gateway
+{
+
+struct GatewayContext;
+
+using framework::Duration;
+using framework::Instant;
+
+class LoadControl
+{
+public:
+    LoadControl(GatewayContext &context, uint64_t seed);
+
+    /// True if the configuration in force or the settings call for adaptive admission to the service.
+    bool isAdaptive(std::string_view service) const;
+    dispatch::ServiceAdmission &admission(const std::string &service);
+    /// State of the groups of an adaptive service.
+    std::vector<dispatch::GroupView> groups(const std::string &service, Instant now);
+
+    /// An event of a stream from the group with key @p group arrived @p gap after the one before it.
+    void onPass(const std::string &service, std::string_view group, Duration gap, Instant now);
+    void onPeerDemand(std::string_view entry, std::span<const peers::ServiceDemand> demand, Instant now);
+    /// Demand on the adaptive services, for the next heartbeat.
+    std::vector<peers::ServiceDemand> demand(Instant now);
+
+private:
+    GatewayContext &context_;
+    uint64_t seed_;
+    std::map<std::string, dispatch::ServiceAdmission, std::less<>> services_;
+    std::set<std::string, std::less<>> down_; ///< Keys of groups that lacked a rank when they were last looked at.
+};
+
+} // namespace daisymount::gateway
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "expertmap/copyplan.h"
 #include "expertmap/groupswitch.h"
 #include "expertmap/loadsamples.h"
 #include "expertmap/mapsearch.h"
@@ -20,6 +21,13 @@
 namespace daisymount::gateway
 {
 
+/// Minimum gain of a change. Copying experts slows the passes down in the meantime, and its traffic is billed.
+struct ChangeThresholds
+{
+    double minGain = 0.0; ///< Minimum predicted reduction of the skew.
+    double costPerGigabyte = 0.0; ///< Reduction of the skew required for each copied gigabyte.
+};
+
 class MapController
 {
 public:
@@ -41,9 +49,10 @@
         std::string service;
         fleet::ExpertLayout layout;
         std::vector<RankIdentity> ranks; ///< By rank; empty while a rank is missing.
+        std::vector<std::string> members; ///< Ids of the upstreams that reported this group last, in no order.
         std::vector<expertmap::RankReport> reports; ///< By rank, from the last time that all ranks were read.
         int64_t epoch = 0;
-        expertmap::LoadSamples samples{{}};
+        expertmap::LoadSamples samples{{.capacity = 48}};
         expertmap::SampledRanks sampledRanks;
         Instant lastSampleAt{0}; ///< Time of the last sample, or of the last time that the group had no requests.
         bool sampleGapLogged = false; ///< That no samples come has been logged.
@@ -56,6 +65,7 @@
         std::vector<RankIdentity> changeRanks; ///< Ranks at the beginning of the change.
         Instant changeBegunAt{0};
         int64_t samplesAtPlan = 0;
+        expertmap::DemandShiftTracker demandShifts;
         double plannedSkew = 1.0; ///< Skew of the current map predicted by the last plan.
         Instant nextSample{0};
         Instant nextPlan{0};
@@ -64,6 +74,8 @@
         bool leftoverHold = false; ///< A hold of an earlier change is still in place.
         bool down = false; ///< A rank is missing.
         bool reportsStale = true; ///< The reports have to be read again.
+        bool refreshing = false; ///< The reports of this group alone are being read.
+        Instant refreshDueAt{0}; ///< Earliest time of the next read of the reports of this group alone.
         Instant lastRefresh{0};
         Instant timedPassAt{0};
         int64_t timedPass = 0;
@@ -73,8 +85,19 @@
     };
 
     transport::asio::awaitable<void> loop();
-    transport::asio::awaitable<void> refreshReports(std::string service);
-    void applyReports(const std::string &service, const fleet::ExpertLayout &layout, const std::vector<std::pair<std::string, expertmap::RankReport>> &reports);
+    /// Reads the reports of one group of the service, and of upstreams that belong to none; of all upstreams if @p groupName is empty.
+    transport::asio::awaitable<void> refreshReports(std::string service, std::string groupName = {});
+    /// The same for a group of a service with several ones, in the background, so that a rank that does not answer delays no other group.
+    transport::asio::awaitable<void> refreshGroup(std::shared_ptr<Group> group);
+    /// Starts to read the reports that are due, of the service as a whole or of each of its groups.
+    transport::asio::awaitable<void> refreshStaleReports(const std::string &service, Instant now);
+    void applyReports(const std::string &service, const std::string &groupName, const fleet::ExpertLayout &layout,
+                      const std::vector<std::pair<std::string, expertmap::RankReport>> &reports);
+    bool hasSeveralGroups(std::string_view service) const;
+    /// Upstreams of the service to read for refreshReports().
+    std::vector<std::string> upstreamsToRead(const std::string &service, const std::string &groupName) const;
+    /// Tells the other gateways which ranks belong to which group, if that has changed.
+    void publishGroups();
     void applyGroupReports(Group &group, const std::vector<std::pair<std::string, expertmap::RankReport>> &members);
     void step(const std::shared_ptr<Group> &group, Instant now);
     void driveChange(const std::shared_ptr<Group> &group, Instant now);
@@ -84,8 +107,13 @@
     /// Tells of each rank whether it is in the zone of this gateway.
     std::vector<bool> inOwnZone(std::span<const RankIdentity> ranks) const;
     std::vector<expertmap::LoadSample> samplesToPlanOn(const Group &group) const;
+    ChangeThresholds changeThresholds(const Group &group) const;
+    /// Bounds of the search for a better map.
+    expertmap::MapSearchOptions searchOptions(Group &group, Instant now);
     /// True if the skew of the newest samples is well above the planned one.
     bool demandShifted(const Group &group) const;
+    /// Mean skew of the newest samples with the current map.
+    double newestSkew(const Group &group) const;
     /// True if any gateway has requests in flight at the engines of the group's service.
     bool hasRequests(const Group &group, Instant now) const;
     /// Logs once that no sample comes from a group with requests, which therefore keeps its map.
@@ -124,6 +152,7 @@
     std::map<std::string, Instant> refreshedAt_; ///< Time of the last read of the reports, by service.
     std::map<std::string, Instant> agentBackoffUntil_; ///< Until when the agent is bypassed, by upstream.
     Instant lossTolerantUntil_{0}; ///< Until this time changes use SwitchOptions::lossTolerant().
+    int64_t groupsRevision_ = 0; ///< Of the last published list of groups in this term.
     int64_t termFencing_ = 0; ///< Fencing number of the term to which the state of the groups belongs.
 };
 
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -27,6 +27,10 @@
     void send(std::string_view message, std::span<const std::string> targets);
     void mergeCrashUpdate(const crashattribution::CrashUpdate &update, std::string_view from, Instant now);
     void convictCrashingRequests(Instant now);
+    /// Adopts a newer list of rank groups, and tells others of it if it is this gateway's own.
+    void applyGroupList(dispatch::GroupList list, bool isOwn);
+    /// Sends the list of rank groups to a member that knows an older one.
+    void answerOlderGroupList(const peers::Peer &peer);
     void applyLeavingUpstreams(const peers::Heartbeat &heartbeat, Instant now);
     /// Passes the list of serving gateways, which share the engines' capacity, to the dispatcher.
     void updateServingEntries();
