expertmap: ranks that were left on different maps are switched to one

Cause: a group whose ranks reported different maps, none of them armed, was read again for ever: the controller had no map to plan on. A hold found on the way is cleaned up first.

--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -303,6 +303,7 @@
     group.ranks = std::move(ranks);
     group.reports = std::move(reports);
     group.leftoverHold = anyHeld && sameMap;
+    group.mixedMaps.onReports(sameMap, anyArmed, now);
     if (!sameMap || (anyArmed && !anyHeld)) {
         // Without a hold, armed ranks switch by themselves within a few passes. Until then the group has no map to plan on.
         group.mapUnknown = true;
@@ -428,6 +429,11 @@
         startCleanUp(*group, now);
         return;
     }
+    if (group->mixedMaps.needsRepair(now) && !group->planning) {
+        group->planning = true;
+        transport::spawnTask(context_.executor, "repair_map", repairMap(group), [group] { group->planning = false; });
+        return;
+    }
     if (group->mapUnknown) {
         if (!group->planning && !group->reportsStale) {
             group->planning = true;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -175,7 +175,7 @@
     }
 }
 
-asio::awaitable<void> MapController::readMap(std::shared_ptr<Group> group)
+asio::awaitable<std::optional<expertmap::GroupMap>> MapController::readHeldExperts(std::shared_ptr<Group> group, std::optional<int64_t> version)
 {
     const int64_t epoch = group->epoch;
     const size_t ranks = group->ranks.size();
@@ -186,7 +186,7 @@
             = co_await callRank(group->ranks[rank].upstream, platform::mapListsCall(), REPORT_TIMEOUT, maxCountsBytes(group->layout));
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(lists, platform::decodeMapLists(reply.status, reply.body, group->layout.sets));
-            complete = lists.epoch == epoch && lists.version == group->mapVersion;
+            complete = lists.epoch == epoch && (!version || lists.version == *version);
             for (size_t set = 0; complete && set < map.size(); ++set) {
                 map[set][rank] = lists.experts[set];
             }
@@ -194,16 +194,52 @@
         });
         complete = complete && read;
     }
+    if (!complete || group->epoch != epoch || group->ranks.size() != ranks) {
+        co_return std::nullopt;
+    }
+    co_return map;
+}
+
+asio::awaitable<void> MapController::readMap(std::shared_ptr<Group> group)
+{
+    std::optional<expertmap::GroupMap> map = co_await readHeldExperts(group, group->mapVersion);
     group->planning = false;
-    if (!complete || group->epoch != epoch) {
+    if (!map) {
         group->reportsStale = true;
         co_return;
     }
-    group->map = std::move(map);
+    group->map = std::move(*map);
     group->mapUnknown = false;
     context_.log.report({"maps", "map_read", ResultCode::Ok, "", {{"group", group->name}, {"version", std::to_string(group->mapVersion)}}});
 }
 
+asio::awaitable<void> MapController::repairMap(std::shared_ptr<Group> group)
+{
+    const int64_t term = termFencing_;
+    std::optional<expertmap::GroupMap> held = co_await readHeldExperts(group, std::nullopt);
+    group->planning = false;
+    const Instant now = framework::monotonicNow();
+    const bool stillValid = held && lease_.held() && termFencing_ == term && !group->change && !context_.draining && group->mixedMaps.needsRepair(now);
+    std::optional<expertmap::GroupMap> map
+        = stillValid ? expertmap::combinedMap(std::move(*held), group->layout.experts, group->layout.placements, group->layout.spares) : std::nullopt;
+    context_.log.report({"maps",
+                         map ? "repair_begun" : "repair_postponed",
+                         map ? ResultCode::Ok : ResultCode::MapRefused,
+                         "",
+                         {{"group", group->name}, {"epoch", std::to_string(group->epoch)}, {"version", std::to_string(group->highestVersion)}}});
+    if (!map) {
+        co_return;
+    }
+    expertmap::MapChange change{group->epoch, termFencing_, expertmap::nextMapVersion(group->highestVersion, termFencing_), std::move(*map)};
+    const bool isHeld = std::ranges::any_of(group->reports, [](const expertmap::RankReport &report) { return report.heldPass.has_value(); });
+    const expertmap::SwitchOptions options = agentsReachable(*group, now) ? expertmap::SwitchOptions::lossTolerant() : expertmap::SwitchOptions{};
+    // A hold of an earlier change is removed first; the ranks are brought to one map by the next repair.
+    beginChange(*group,
+                isHeld ? expertmap::GroupSwitch::cleanUp(options, std::move(change), group->reports, now)
+                       : expertmap::GroupSwitch(options, std::move(change), group->reports, toMilliseconds(group->passTime), now),
+                now);
+}
+
 asio::awaitable<void> MapController::plan(std::shared_ptr<Group> group)
 {
     co_await searchAndBeginChange(group);
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -6,6 +6,7 @@
 #include "expertmap/groupswitch.h"
 #include "expertmap/loadsamples.h"
 #include "expertmap/mapsearch.h"
+#include "expertmap/mixedmaps.h"
 #include "expertmap/passwatch.h"
 #include "expertmap/sampledranks.h"
 #include "gateway/gatewaycontext.h"
@@ -70,6 +71,7 @@
         Instant nextSample{0};
         Instant nextPlan{0};
         Instant mapInUseFrom{0}; ///< From this time on all ranks use the map of the last change.
+        expertmap::MixedMapsDetector mixedMaps;
         bool planning = false;
         bool leftoverHold = false; ///< A hold of an earlier change is still in place.
         bool down = false; ///< A rank is missing.
@@ -140,6 +142,10 @@
     transport::asio::awaitable<void> sendCommand(std::shared_ptr<Group> group, std::shared_ptr<expertmap::GroupSwitch> change,
                                                  expertmap::SwitchCommand command);
     transport::asio::awaitable<void> readMap(std::shared_ptr<Group> group);
+    /// Reads the experts that each rank holds, of @p version or, if it is empty, of any. Returns an empty value if a rank does not answer.
+    transport::asio::awaitable<std::optional<expertmap::GroupMap>> readHeldExperts(std::shared_ptr<Group> group, std::optional<int64_t> version);
+    /// Switches ranks that use different maps to one.
+    transport::asio::awaitable<void> repairMap(std::shared_ptr<Group> group);
     transport::asio::awaitable<void> plan(std::shared_ptr<Group> group);
     /// Searches for a better map and begins the change to it if the gain is sufficient.
     transport::asio::awaitable<void> searchAndBeginChange(std::shared_ptr<Group> group);
