dispatch: upstreams that have just started or recovered ramp up by their answers

Cause: an upstream that starts or recovers is flooded by all entries at once, or is left idle by a fixed delay (operators' wish). Placement prefers other upstreams beyond the window and never refuses for it. Used where any service of the configuration is adaptive. Rank groups start by ConcurrencyLimit as a whole. Ruled out: refusing beyond the window, which would refuse callers while all upstreams of a service restart.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 
 #include "dispatch/groupdirectory.h"
 #include "dispatch/homeplaces.h"
+#include "dispatch/rampup.h"
 #include "dispatch/retryshare.h"
 #include "dispatch/upstreamnotices.h"
 #include "fleet/fleetview.h"
@@ -97,6 +98,8 @@
     void onFleetChange(const fleet::FleetView &view, Instant now);
     /// Assigns the upstreams to the rank groups of their services.
     void onGroupsChange(const GroupDirectory &groups);
+    /// Whether upstreams that have just started or recovered get requests by RampUp.
+    void setRampUp(bool enabled);
     /// Number of possibly live entries including this one, at least 1. The request rate of cold upstreams is divided by it.
     void setEntries(int entries);
 
@@ -149,6 +152,7 @@
     {
         fleet::Upstream upstream;
         std::string group; ///< Group key.
+        RampUp rampUp;
         Instant coldUntil{0};
         double coldTokens = 0.0; ///< Token bucket for requests during cold start.
         Instant coldRefilled{0};
@@ -186,6 +190,10 @@
     bool isEligible(State &state, const PlacementRequest &request, Instant now);
     /// Returns an engine with a free reserved slot, else the least loaded of a random sample; null if no engine is eligible.
     State *chooseEngine(const PlacementRequest &request, Instant now);
+    /// Begins the ramp of an upstream that has started or recovered, if ramps are enabled.
+    void beginRampUp(State &state, Instant now);
+    /// Mean of the average response times of the service's upstreams; 0 before the first response.
+    double meanAnswerMs(std::string_view service) const;
     double expectedRequests(const State &state, Instant now) const;
     double cost(const State &state, double meanAnswerMs, Instant now);
     double failureRate(const State &state, Instant now) const;
@@ -198,6 +206,8 @@
 
     DispatcherOptions options_;
     int entries_ = 1;
+    bool rampUpEnabled_ = false;
+    std::optional<Instant> startedAt_; ///< Time of the first fleet state; upstreams known then do not ramp.
     UpstreamNotices notices_;
     GroupDirectory groups_;
     std::vector<ServingEntry> servingEntries_; ///< By zone and name.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds AVOID_FULL{60};
 constexpr double FAILURE_WEIGHT = 0.25; ///< Weight of one result in the failure rate.
 constexpr double FAILURE_HALF_LIFE_S = 2.0; ///< As the rate decays, a failing upstream gets requests again.
+/// An upstream that answers after failing this often has recovered.
+constexpr double RECOVERING_FAILURE_RATE = 0.5;
+/// Upstreams that become known within this time after the first ones were running before.
+constexpr Duration DISCOVERY_TIME = milliseconds{3'000};
 constexpr double ANSWER_WEIGHT = 0.2; ///< Weight of one response in the average response time.
 constexpr double SLOW_RATIO = 2.0; ///< Multiple of the mean response time of the service above which an upstream is slow.
 /// Random part of the cost; keeps entries with the same data from selecting the same upstream.
@@ -59,6 +63,9 @@
             engineServices_.insert(name);
         }
     }
+    if (!startedAt_ && !view.upstreams().empty()) {
+        startedAt_ = now;
+    }
     std::map<std::string_view, int64_t> newestAt; // By address: start time of the newest incarnation.
     for (const auto &[id, known] : view.upstreams()) {
         int64_t &newest = newestAt[known.upstream.address];
@@ -71,6 +78,10 @@
             state = State{};
             state.inFlight = inFlight;
             state.coldRefilled = now;
+            state.upstream = known.upstream;
+            if (startedAt_ && now - *startedAt_ > DISCOVERY_TIME) {
+                beginRampUp(state, now);
+            }
         }
         state.upstream = known.upstream;
         state.group = groups_.keyOf(known.upstream.service, id);
@@ -102,6 +113,35 @@
     return found == states_.end() ? std::string_view{} : std::string_view(found->second.group);
 }
 
+void Dispatcher::setRampUp(bool enabled)
+{
+    rampUpEnabled_ = enabled;
+}
+
+void Dispatcher::beginRampUp(State &state, Instant now)
+{
+    // The passes of a rank group are limited as a whole, see ConcurrencyLimit.
+    if (!rampUpEnabled_ || engineServices_.contains(state.upstream.service)) {
+        return;
+    }
+    const auto usual = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(meanAnswerMs(state.upstream.service)));
+    const uint64_t position = framework::hash64(state.upstream.id, options_.seed) % static_cast<uint64_t>(entries_);
+    state.rampUp.begin({state.upstream.slots, entries_, usual}, position, now);
+}
+
+double Dispatcher::meanAnswerMs(std::string_view service) const
+{
+    double sum = 0.0;
+    int answering = 0;
+    for (const auto &[id, state] : states_) {
+        if (state.upstream.service == service && state.firstAnswerMs > 0.0) {
+            sum += state.firstAnswerMs;
+            ++answering;
+        }
+    }
+    return answering > 0 ? sum / answering : 0.0;
+}
+
 void Dispatcher::setEntries(int entries)
 {
     entries_ = std::max(1, entries);
@@ -132,16 +172,7 @@
             return makePlacement(*engine, now);
         }
     }
-    double answerSum = 0.0;
-    int answering = 0;
-    for (const auto &[id, state] : states_) {
-        if (state.upstream.service == request.service && state.firstAnswerMs > 0.0) {
-            answerSum += state.firstAnswerMs;
-            ++answering;
-        }
-    }
-    const double meanAnswerMs = answering > 0 ? answerSum / answering : 0.0;
-
+    const double meanMs = meanAnswerMs(request.service);
     State *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     bool known = false;
@@ -167,7 +198,7 @@
             cold = true;
             continue;
         }
-        const double candidate = cost(state, meanAnswerMs, now) + (avoided ? FAILURE_COST : 0.0);
+        const double candidate = cost(state, meanMs, now) + (avoided ? FAILURE_COST : 0.0) + (state.rampUp.allows(state.inFlight, now) ? 0.0 : RAMP_COST);
         if (candidate < bestCost) {
             bestCost = candidate;
             best = &state;
@@ -222,6 +253,11 @@
         return;
     }
     state->inFlight = std::max(0, state->inFlight - 1);
+    if (result == AttemptResult::Served) {
+        state->rampUp.onAnswer(firstAnswer, now);
+    } else if (result != AttemptResult::Abandoned) {
+        state->rampUp.onFailure(now);
+    }
     if (result == AttemptResult::Abandoned) {
         return;
     }
@@ -237,6 +273,9 @@
         state->avoidUntil = std::max(state->avoidUntil, now + AVOID_UNREACHABLE);
     }
     const double outcome = result == AttemptResult::Served ? 0.0 : 1.0;
+    if (outcome == 0.0 && failureRate(*state, now) > RECOVERING_FAILURE_RATE && !state->rampUp.isActive()) {
+        beginRampUp(*state, now);
+    }
     state->failureRate = failureRate(*state, now) * (1.0 - FAILURE_WEIGHT) + outcome * FAILURE_WEIGHT;
     state->failureRateAt = now;
     if (result == AttemptResult::Served && firstAnswer.count() > 0) {
--- a/src/gateway/internal/loadcontrol.cpp
+++ b/src/gateway/internal/loadcontrol.cpp
@@ -29,6 +29,12 @@
 LoadControl::LoadControl(GatewayContext &context, uint64_t seed) : context_(context), seed_(seed)
 { }
 
+bool LoadControl::isAnyAdaptive() const
+{
+    const auto services = context_.view.hasConfig() ? context_.view.config() : nullptr;
+    return services && std::ranges::any_of(services->services, [this](const auto &entry) { return isAdaptive(entry.first); });
+}
+
 bool LoadControl::isAdaptive(std::string_view service) const
 {
     return context_.view.hasConfig() && dispatch::isAdaptive(context_.settings.admission, *context_.view.config(), context_.groups, service);
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -187,6 +187,7 @@
         const Instant now = framework::monotonicNow();
         const int entries = context_.peers.possiblyAliveCount(now);
         context_.dispatcher.setEntries(entries);
+        context_.dispatcher.setRampUp(context_.loadControl.isAnyAdaptive());
         context_.retryBudget.setEntries(entries, now);
         updateServingEntries();
         co_await transport::sleepFor(HEARTBEAT_INTERVAL);
--- a/src/gateway/loadcontrol.h
+++ b/src/gateway/loadcontrol.h
@@ -28,6 +28,7 @@
 
     /// True if the configuration in force or the settings call for adaptive admission to the service.
     bool isAdaptive(std::string_view service) const;
+    bool isAnyAdaptive() const;
     dispatch::ServiceAdmission &admission(const std::string &service);
     /// State of the groups of an adaptive service.
     std::vector<dispatch::GroupView> groups(const std::string &service, Instant now);
