--- a/src/dispatch/internal/serviceadmission.cpp
+++ b/src/dispatch/internal/serviceadmission.cpp
@@ -20,7 +20,7 @@
 constexpr double CORRECTION_UP = 1.05;
 constexpr double MIN_CORRECTION = 0.5;
 constexpr double MAX_CORRECTION = 1.5;
-/// The capacity is taken for larger than estimated if less than this fraction of the limits is in use while shares refuse requests.
+/// The capacity is taken for larger than estimated if the entry uses less than this fraction of its part while shares refuse requests.
 constexpr double USED_FRACTION = 0.85;
 /// Time after which a priority that nobody asks for keeps no headroom.
 constexpr Duration PRIORITY_RETENTION = framework::seconds{10};
@@ -103,7 +103,7 @@
         limits_[group.key] = decision;
         if (group.usable) {
             room.limit += decision.limit;
-            room.inFlight += group.inFlight;
+            room.ownInFlight += group.ownInFlight;
         }
     }
     room.ownLimit = room.limit * shares_.ownShare(now);
@@ -116,10 +116,9 @@
 void ServiceAdmission::updateCapacity(const Room &room, const GroupCapacity &capacity, Instant now)
 {
     if (now - correctedAt_ >= CORRECTION_INTERVAL) {
-        // Callers of one entry come in bursts: only groups that are full over all entries show that too much is admitted.
-        if (shortOfRoom_ && room.inFlight >= options_.roomFraction * room.limit) {
+        if (shortOfRoom_) {
             capacityCorrection_ *= CORRECTION_DOWN;
-        } else if (shareRefused_ && room.inFlight < USED_FRACTION * room.limit) {
+        } else if (shareRefused_ && room.ownInFlight < USED_FRACTION * room.ownLimit) {
             capacityCorrection_ *= CORRECTION_UP;
         }
         capacityCorrection_ = std::clamp(capacityCorrection_, MIN_CORRECTION, MAX_CORRECTION);
--- a/src/dispatch/serviceadmission.h
+++ b/src/dispatch/serviceadmission.h
@@ -55,7 +55,7 @@
     uint64_t seed = 1;
     milliseconds maxLateWait{900}; ///< Longest wait of a request that is late already; callers leave after 2 s without an event.
     milliseconds outageWait{1'300}; ///< Longest wait of a returning caller for a group that is down.
-    double lending = 2.0; ///< Multiple of its part of a limit that an entry may use while the group has room.
+    double lending = 1.5; ///< Multiple of its part of a limit that an entry may use while the group has room.
     double roomFraction = 0.9; ///< A group with less than this fraction of its limit in flight has room.
     double priorityHeadroom = 0.08; ///< Fraction of a limit that is kept free for more urgent priorities, by steps of priority.
 };
@@ -89,7 +89,7 @@
     {
         double limit = 0.0; ///< Over all entries.
         double ownLimit = 0.0;
-        double inFlight = 0.0; ///< Over all entries.
+        double ownInFlight = 0.0;
     };
 
     /// Updates the limits of the groups and the capacity of the shares.
