expertmap: a change beside plans of other groups holds a pass further ahead

Change: SwitchOptions::busyController() holds four passes or 300 ms ahead for services with several groups; searches of adaptive services try 2,000 proposals a set.

--- a/src/expertmap/groupswitch.h
+++ b/src/expertmap/groupswitch.h
@@ -60,6 +60,9 @@
     /// For ranks that reply at once and report current state: the switch takes a few passes. An unanswered order stops the group until its
     /// outcome is known, so these options suit periods without lost orders.
     static SwitchOptions lowLatency();
+    /// For a controller that plans for other groups at the same time: its orders leave some passes later, and a change whose copies took long is
+    /// not to be cancelled because the pass to hold has begun.
+    static SwitchOptions busyController();
     /// For ranks that report current state while some orders go unanswered: the held pass leaves time for two retries.
     static SwitchOptions lossTolerant();
 };
--- a/src/expertmap/internal/groupswitch.cpp
+++ b/src/expertmap/internal/groupswitch.cpp
@@ -26,6 +26,15 @@
     return options;
 }
 
+SwitchOptions SwitchOptions::busyController()
+{
+    SwitchOptions options = lowLatency();
+    options.holdLeadTime = milliseconds{270};
+    options.holdTimeout = milliseconds{300};
+    options.minPassesAhead = 4;
+    return options;
+}
+
 std::string_view toString(SwitchPhase phase)
 {
     switch (phase) {
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -39,6 +39,8 @@
 constexpr double PASS_TIME_WEIGHT = 0.2;
 /// The search runs in slices, so that it does not delay the forwarding of requests.
 constexpr int PROPOSALS_PER_SLICE = 1'000;
+/// With many copies the search converges late, while demand moves on.
+constexpr int ADAPTIVE_PROPOSALS_PER_SET = 2'000;
 /// Time that a change may take to copy experts to one rank. The switch waits for the slowest rank, and demand moves in the meantime.
 constexpr milliseconds MAX_COPY_TIME{150};
 /// Time of the search, the orders and the switch of a change, beside its copies.
@@ -262,6 +264,7 @@
         group.demandShifts.onShifted(now);
     }
     options.spreadCopies = true;
+    options.maxProposalsPerSet = ADAPTIVE_PROPOSALS_PER_SET;
     options.maxAddedPerRank
         = expertmap::copiesPerRank({group.layout.copyTime, group.demandShifts.untilNextShift(now), SWITCH_TIME, group.layout.sets, group.layout.spares});
     return options;
@@ -335,7 +338,8 @@
     const Instant begin = framework::monotonicNow();
     expertmap::SwitchOptions switchOptions;
     if (agentsReachable(*group, begin)) {
-        switchOptions = begin >= lossTolerantUntil_ ? expertmap::SwitchOptions::lowLatency() : expertmap::SwitchOptions::lossTolerant();
+        const auto quick = hasSeveralGroups(group->service) ? expertmap::SwitchOptions::busyController() : expertmap::SwitchOptions::lowLatency();
+        switchOptions = begin >= lossTolerantUntil_ ? quick : expertmap::SwitchOptions::lossTolerant();
     }
     beginChange(*group, expertmap::GroupSwitch(switchOptions, std::move(change), group->reports, toMilliseconds(group->passTime), begin), begin);
 }
