--- a/src/peers/internal/heartbeatcodec.cpp
+++ b/src/peers/internal/heartbeatcodec.cpp
@@ -4,6 +4,7 @@
 #include "peers/peercodec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace daisymount::peers
@@ -94,7 +95,7 @@
 
 uint64_t encodeRate(double perSecond)
 {
-    return static_cast<uint64_t>(std::clamp(perSecond, 0.0, MAX_RATE) * RATE_UNITS + 0.5);
+    return static_cast<uint64_t>(std::lround(std::clamp(perSecond, 0.0, MAX_RATE) * RATE_UNITS));
 }
 
 Result<double> readRate(CompactReader &reader)
