gateway: which services are adaptive is evaluated once for each configuration

Cause: isAdaptive() read all routes, up to 1,700 after a large configuration, for each event of a stream and each request, on machines with a quarter of a core. Change: LoadControl keeps the policies until the configuration or the list of groups changes.

--- a/src/gateway/internal/loadcontrol.cpp
+++ b/src/gateway/internal/loadcontrol.cpp
@@ -29,15 +29,34 @@
 LoadControl::LoadControl(GatewayContext &context, uint64_t seed) : context_(context), seed_(seed)
 { }
 
-bool LoadControl::isAnyAdaptive() const
+const std::map<std::string, LoadControl::ServicePolicy, std::less<>> &LoadControl::policies()
 {
-    const auto services = context_.view.hasConfig() ? context_.view.config() : nullptr;
-    return services && std::ranges::any_of(services->services, [this](const auto &entry) { return isAdaptive(entry.first); });
+    const auto config = context_.view.hasConfig() ? context_.view.config() : nullptr;
+    const std::pair<int64_t, int64_t> groups{context_.groups.list().term, context_.groups.list().revision};
+    if (config == policiesConfig_ && groups == policiesGroups_) {
+        return policies_;
+    }
+    policiesConfig_ = config;
+    policiesGroups_ = groups;
+    policies_.clear();
+    if (config) {
+        for (const auto &[name, service] : config->services) {
+            if (dispatch::isAdaptive(context_.settings.admission, *config, context_.groups, name)) {
+                policies_[name] = {shortestPause(*config, name)};
+            }
+        }
+    }
+    return policies_;
+}
+
+bool LoadControl::isAnyAdaptive()
+{
+    return !policies().empty();
 }
 
-bool LoadControl::isAdaptive(std::string_view service) const
+bool LoadControl::isAdaptive(std::string_view service)
 {
-    return context_.view.hasConfig() && dispatch::isAdaptive(context_.settings.admission, *context_.view.config(), context_.groups, service);
+    return policies().contains(service);
 }
 
 dispatch::ServiceAdmission &LoadControl::admission(const std::string &service)
@@ -59,7 +78,8 @@
     if (known == config->services.end() || !known->second.engine) {
         return views;
     }
-    const Duration pause = shortestPause(*config, service);
+    const auto policy = policies().find(service);
+    const Duration pause = policy == policies_.end() ? Duration{0} : policy->second.shortestPause;
     for (const std::string &key : context_.groups.keysOf(service)) {
         const dispatch::EngineLoad load = context_.dispatcher.engineLoad(key, now);
         const bool lacksRank = context_.peers.groupDown(key, now);
--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -123,7 +123,8 @@
         }
         co_return;
     }
-    for (const auto &[name, group] : groups_) {
+    for (const auto &entry : groups_) {
+        const std::shared_ptr<Group> &group = entry.second;
         if (group->service == service && group->reportsStale && !group->refreshing && now >= group->refreshDueAt) {
             group->refreshing = true;
             transport::spawnTask(context_.executor, "refresh_group", refreshGroup(group), [group] { group->refreshing = false; });
--- a/src/gateway/loadcontrol.h
+++ b/src/gateway/loadcontrol.h
@@ -7,10 +7,12 @@
 #include "peers/peertypes.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace daisymount::gateway
@@ -27,8 +29,8 @@
     LoadControl(GatewayContext &context, uint64_t seed);
 
     /// True if the configuration in force or the settings call for adaptive admission to the service.
-    bool isAdaptive(std::string_view service) const;
-    bool isAnyAdaptive() const;
+    bool isAdaptive(std::string_view service);
+    bool isAnyAdaptive();
     dispatch::ServiceAdmission &admission(const std::string &service);
     /// State of the groups of an adaptive service.
     std::vector<dispatch::GroupView> groups(const std::string &service, Instant now);
@@ -40,7 +42,20 @@
     std::vector<peers::ServiceDemand> demand(Instant now);
 
 private:
+    /// What the configuration says of an adaptive service.
+    struct ServicePolicy
+    {
+        Duration shortestPause{0}; ///< Of the routes to it; 0 if none has a pause objective.
+    };
+
+    /// Policies of the adaptive services. Evaluated once for each configuration and list of groups: it reads all routes, and requests and events of
+    /// streams ask for it.
+    const std::map<std::string, ServicePolicy, std::less<>> &policies();
+
     GatewayContext &context_;
+    std::map<std::string, ServicePolicy, std::less<>> policies_;
+    std::shared_ptr<const fleet::FleetConfig> policiesConfig_; ///< Configuration of policies_, null before the first.
+    std::pair<int64_t, int64_t> policiesGroups_; ///< Term and revision of the list of groups of policies_.
     uint64_t seed_;
     std::map<std::string, dispatch::ServiceAdmission, std::less<>> services_;
     std::set<std::string, std::less<>> down_; ///< Keys of groups that lacked a rank when they were last looked at.
