Observability: pauses of the loop, failed calls, slices of a search, fill and capacity

Adds LoopPauses (late ticks of the event loop), loop_paused lines, call_failed lines with time, bytes and own pauses, longest_slice_ms, capacity and fill of refusals, and gauges. No change of decisions.

--- a/src/dispatch/internal/serviceadmission.cpp
+++ b/src/dispatch/internal/serviceadmission.cpp
@@ -90,6 +90,11 @@
     return limits_;
 }
 
+const ServiceAdmission::Room &ServiceAdmission::room() const
+{
+    return room_;
+}
+
 ServiceAdmission::Room ServiceAdmission::updateLimits(std::span<const GroupView> groups, Instant now)
 {
     Room room;
@@ -104,16 +109,18 @@
         if (group.usable) {
             room.limit += decision.limit;
             room.ownInFlight += group.ownInFlight;
+            room.inFlight += group.inFlight;
         }
     }
     room.ownLimit = room.limit * shares_.ownShare(now);
     if (!groups.empty()) {
         updateCapacity(room, groups.front().capacity, now);
     }
+    room_ = room;
     return room;
 }
 
-void ServiceAdmission::updateCapacity(const Room &room, const GroupCapacity &capacity, Instant now)
+void ServiceAdmission::updateCapacity(Room &room, const GroupCapacity &capacity, Instant now)
 {
     if (now - correctedAt_ >= CORRECTION_INTERVAL) {
         if (shortOfRoom_) {
@@ -129,7 +136,8 @@
     const double passes = capacity.engine.usualAnswerTokens / std::max(1, capacity.engine.stepsPerPass) + 2.0;
     const double assumed = passes * ASSUMED_PASS_FRACTION * std::chrono::duration<double>(capacity.pauseObjective).count();
     const double duration = usualDuration_.count() > 0 ? std::chrono::duration<double>(usualDuration_).count() : assumed;
-    shares_.setCapacity(duration > 0.0 ? capacityCorrection_ * room.limit / duration : 0.0, now);
+    room.capacity = duration > 0.0 ? capacityCorrection_ * room.limit / duration : 0.0;
+    shares_.setCapacity(room.capacity, now);
 }
 
 double ServiceAdmission::ownRoom(const GroupView &group, const AdmissionRequest &request, Instant now) const
@@ -183,7 +191,7 @@
     if (retryAfter.count() == 0) {
         retryAfter = retryDelay_.choose(RefusalCause::Busy, request.left);
     }
-    return {Admission::Refuse, {}, retryAfter, reason, room.limit, room.ownLimit};
+    return {Admission::Refuse, {}, retryAfter, reason, room.limit, room.ownLimit, room.capacity, room.fill()};
 }
 
 ServiceDecision ServiceAdmission::decide(AdmissionRequest &request, std::span<const GroupView> groups, Instant now)
@@ -209,10 +217,10 @@
     }
     std::string chosen = pick(groups, weights);
     if (!chosen.empty()) {
-        return {Admission::Admit, std::move(chosen), milliseconds{0}, toString(request.share->reason), room.limit, room.ownLimit};
+        return {Admission::Admit, std::move(chosen), milliseconds{0}, toString(request.share->reason), room.limit, room.ownLimit, room.capacity, room.fill()};
     }
     if (request.waited < maxWait(request)) {
-        return {Admission::Wait, {}, milliseconds{0}, "no_room", room.limit, room.ownLimit};
+        return {Admission::Wait, {}, milliseconds{0}, "no_room", room.limit, room.ownLimit, room.capacity, room.fill()};
     }
     shortOfRoom_ = true;
     return refuse(request, "no_room", room);
--- a/src/dispatch/serviceadmission.h
+++ b/src/dispatch/serviceadmission.h
@@ -48,6 +48,8 @@
     std::string_view reason;
     double limit = 0.0; ///< Of all usable groups, over all entries.
     double ownLimit = 0.0; ///< Part of this entry.
+    double capacity = 0.0; ///< Requests a second that the shares divide, over all entries; 0 if unknown.
+    double fill = 0.0; ///< Requests in flight over all entries, relative to the limit.
 };
 
 struct ServiceAdmissionOptions
@@ -63,6 +65,21 @@
 class ServiceAdmission
 {
 public:
+    /// Limits and load of the usable groups together.
+    struct Room
+    {
+        double limit = 0.0; ///< Over all entries.
+        double ownLimit = 0.0;
+        double ownInFlight = 0.0;
+        double inFlight = 0.0; ///< Over all entries.
+        double capacity = 0.0; ///< Requests a second that the shares divide.
+
+        double fill() const
+        {
+            return limit > 0.0 ? inFlight / limit : 0.0;
+        }
+    };
+
     explicit ServiceAdmission(const ServiceAdmissionOptions &options);
 
     /// Must be called once for each request, before decide().
@@ -83,25 +100,21 @@
     DemandReport demand(Instant now) const;
     /// Limits of the groups as last decided, by key.
     const std::map<std::string, ConcurrencyDecision, std::less<>> &limits() const;
+    /// Room as last decided.
+    const Room &room() const;
 
 private:
-    struct Room
-    {
-        double limit = 0.0; ///< Over all entries.
-        double ownLimit = 0.0;
-        double ownInFlight = 0.0;
-    };
-
     /// Updates the limits of the groups and the capacity of the shares.
     Room updateLimits(std::span<const GroupView> groups, Instant now);
     /// Own room in the group for a request of this priority.
     double ownRoom(const GroupView &group, const AdmissionRequest &request, Instant now) const;
-    void updateCapacity(const Room &room, const GroupCapacity &capacity, Instant now);
+    void updateCapacity(Room &room, const GroupCapacity &capacity, Instant now);
     Duration maxWait(const AdmissionRequest &request) const;
     ServiceDecision refuse(const AdmissionRequest &request, std::string_view reason, const Room &room);
     std::string pick(std::span<const GroupView> groups, std::span<const double> weights);
 
     ServiceAdmissionOptions options_;
+    Room room_;
     AdmissionShares shares_;
     RetryDelay retryDelay_;
     std::minstd_rand random_;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -13,6 +13,7 @@
 #include "dispatch/silencedetector.h"
 #include "fleet/fleetview.h"
 #include "fleet/nodesettings.h"
+#include "framework/looppauses.h"
 #include "gateway/crashwatch.h"
 #include "gateway/gatewaylog.h"
 #include "gateway/gatewaymetrics.h"
@@ -32,6 +33,7 @@
 {
     fleet::NodeSettings settings;
     transport::asio::any_io_executor executor;
+    framework::LoopPauses loopPauses;
     fleet::FleetView view;
     dispatch::Dispatcher dispatcher;
     dispatch::GroupDirectory groups; ///< Empty if engines are admitted by slots.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -77,6 +77,9 @@
     , loadControl(*this, seed)
     , random(static_cast<unsigned>(seed))
 {
+    loopPauses.onPause = [this](framework::Duration pause) {
+        log.report({"process", "loop_paused", ResultCode::Ok, "", {{"ms", std::to_string(std::chrono::duration_cast<milliseconds>(pause).count())}}});
+    };
     view.onMalformedUpstream = [this](const fleet::StoredItem &item) {
         log.report({"upstreams",
                     "malformed_entry",
@@ -318,6 +321,12 @@
     context_.metrics.setGauge("peers_possibly_alive", context_.peers.possiblyAliveCount(framework::monotonicNow()));
     context_.metrics.setGauge("crash_suspects", static_cast<double>(context_.crashes.suspects()));
     context_.metrics.setGauge("crash_convictions", static_cast<double>(context_.crashes.convictions(framework::monotonicNow())));
+    const framework::Duration longestPause = context_.loopPauses.longest(framework::monotonicNow());
+    context_.metrics.setGauge("longest_loop_pause_seconds", std::chrono::duration<double>(longestPause).count());
+    context_.loadControl.forEachLoad([this](std::string_view service, double limit, double inFlight) {
+        context_.metrics.setGauge("limit_" + std::string(service), limit);
+        context_.metrics.setGauge("in_flight_" + std::string(service), inFlight);
+    });
     context_.metrics.setGauge("store_reachable", storeSync_.storeReachable() ? 1.0 : 0.0);
 }
 
--- a/src/gateway/internal/loadcontrol.cpp
+++ b/src/gateway/internal/loadcontrol.cpp
@@ -116,6 +116,13 @@
     }
 }
 
+void LoadControl::forEachLoad(const std::function<void(std::string_view service, double limit, double inFlight)> &visit) const
+{
+    for (const auto &[name, admission] : services_) {
+        visit(name, admission.room().limit, admission.room().inFlight);
+    }
+}
+
 std::vector<peers::ServiceDemand> LoadControl::demand(Instant now)
 {
     const int entries = static_cast<int>(context_.peers.serving(now).size()) + 1;
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -289,7 +289,12 @@
     }
     const expertmap::GroupMap oldMap = group->map;
     expertmap::MapSearch search(options, oldMap, samples.training, context_.random());
-    while (search.improve(PROPOSALS_PER_SLICE)) {
+    Duration longestSlice{0};
+    bool searching = true;
+    while (searching) {
+        const Instant sliceBegun = framework::monotonicNow();
+        searching = search.improve(PROPOSALS_PER_SLICE);
+        longestSlice = std::max<Duration>(longestSlice, framework::monotonicNow() - sliceBegun);
         co_await transport::sleepFor(milliseconds{1});
     }
     const Instant now = framework::monotonicNow();
@@ -318,6 +323,7 @@
                           {"copy_cost", std::to_string(options.copyCost)},
                           {"max_copies", std::to_string(options.maxAddedPerRank)},
                           {"search_ms", std::to_string(toMilliseconds(now - searchBegun).count())},
+                          {"longest_slice_ms", std::to_string(toMilliseconds(longestSlice).count())},
                           {"until_shift_ms", std::to_string(toMilliseconds(group->demandShifts.untilNextShift(now)).count())}}});
     if (!worthIt) {
         co_return;
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -43,6 +43,7 @@
 {
     context_.onGroupList = [this](dispatch::GroupList list) { applyGroupList(std::move(list), true); };
     context_.onCrashRecorded = [this] { broadcastCrashUpdate(context_.peers.targets(framework::monotonicNow())); };
+    transport::spawnLoop(context_.executor, "measure_pauses", [this] { return measurePauses(); });
     transport::spawnLoop(context_.executor, "send_heartbeats", [this] { return sendLoop(); });
     transport::spawnLoop(context_.executor, "receive_heartbeats", [this] { return receiveLoop(); });
     const auto endpoint = transport::parseEndpoint(context_.settings.ip + ":" + std::to_string(context_.settings.firstPeerPort));
@@ -178,6 +179,14 @@
     context_.dispatcher.setServingEntries(std::move(entries));
 }
 
+asio::awaitable<void> PeerLink::measurePauses()
+{
+    while (true) {
+        context_.loopPauses.onTick(framework::monotonicNow());
+        co_await transport::sleepFor(framework::LoopPauses::TICK_INTERVAL);
+    }
+}
+
 asio::awaitable<void> PeerLink::sendLoop()
 {
     while (true) {
--- a/src/gateway/internal/requestadmission.cpp
+++ b/src/gateway/internal/requestadmission.cpp
@@ -121,6 +121,8 @@
                                   {"fraction", std::to_string(request.share ? request.share->fraction : 1.0)},
                                   {"limit", std::to_string(decision.limit)},
                                   {"own_limit", std::to_string(decision.ownLimit)},
+                                  {"capacity", std::to_string(decision.capacity)},
+                                  {"fill", std::to_string(decision.fill)},
                                   {"groups", describe(groups)},
                                   {"waited_ms", std::to_string(toMilliseconds(request.waited).count())},
                                   {"retry_after_ms", std::to_string(decision.retryAfter.count())}}});
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -81,13 +81,33 @@
 {
     const bool watch = name == "watch";
     transport::HttpCaller &caller = watch ? watchCaller_ : context_.httpClient;
+    const Instant begin = framework::monotonicNow();
     transport::HttpReply reply = co_await caller.call(context_.settings.store.address, call.method, call.target, call.body, timeout, {}, MAX_STORE_REPLY_BYTES);
+    if (reply.status == 0) {
+        reportFailedCall("store", name, reply, begin);
+    }
     const bool answered = reply.status != 0 && reply.status != 429 && reply.status != 503;
     context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
     recordStoreResponse(answered);
     co_return reply;
 }
 
+void StoreSync::reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin)
+{
+    const Instant now = framework::monotonicNow();
+    const auto toMs = [](Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
+    context_.log.report({"store",
+                         "call_failed",
+                         ResultCode::ReplyLost,
+                         "",
+                         {{"target", std::string(target)},
+                          {"call", std::string(name)},
+                          {"status", std::to_string(reply.status)},
+                          {"bytes", std::to_string(reply.bytesReceived)},
+                          {"ms", toMs(now - begin)},
+                          {"own_pauses_ms", toMs(context_.loopPauses.within(begin, now))}}});
+}
+
 void StoreSync::recordStoreResponse(bool answered)
 {
     const Instant now = framework::monotonicNow();
@@ -389,8 +409,10 @@
 asio::awaitable<bool> StoreSync::fetchFromPeer(peers::Peer peer, std::string_view page)
 {
     const std::string address = peer.ip + ":" + std::to_string(context_.settings.firstPeerPort);
+    const Instant begin = framework::monotonicNow();
     const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", PEER_TIMEOUT, {}, MAX_SNAPSHOT_BYTES);
     if (reply.status != 200) {
+        reportFailedCall(peer.name, page, reply, begin);
         co_return false;
     }
     const framework::Ret applied = framework::evaluate([&]() -> framework::Result<void> {
--- a/src/gateway/loadcontrol.h
+++ b/src/gateway/loadcontrol.h
@@ -6,6 +6,7 @@
 #include "fleet/fleettypes.h"
 #include "peers/peertypes.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,6 +42,9 @@
     /// Demand on the adaptive services, for the next heartbeat.
     std::vector<peers::ServiceDemand> demand(Instant now);
 
+    /// Calls @p visit for each adaptive service with its limit and its requests in flight, both over all entries.
+    void forEachLoad(const std::function<void(std::string_view service, double limit, double inFlight)> &visit) const;
+
 private:
     /// What the configuration says of an adaptive service.
     struct ServicePolicy
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -34,6 +34,8 @@
     void applyLeavingUpstreams(const peers::Heartbeat &heartbeat, Instant now);
     /// Passes the list of serving gateways, which share the engines' capacity, to the dispatcher.
     void updateServingEntries();
+    /// Records the pauses of the event loop.
+    transport::asio::awaitable<void> measurePauses();
     transport::asio::awaitable<void> sendLoop();
     transport::asio::awaitable<void> receiveLoop();
 
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -50,6 +50,8 @@
     void applyOperatorItem(const platform::StoreItem &item, bool deleted);
     void applyZones(int64_t revision);
     void recordStoreResponse(bool answered);
+    /// Logs a call without a useful reply. @p target is "store" or the name of a peer.
+    void reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin);
     void publishChange();
 
     GatewayContext &context_;
--- a/src/transport/httpcaller.h
+++ b/src/transport/httpcaller.h
@@ -19,6 +19,7 @@
     int status = 0; ///< 0 if no complete reply was received; the call may have been executed.
     HeaderFields fields;
     std::string body;
+    size_t bytesReceived = 0; ///< Also of a reply that was not received completely.
 };
 
 /// Largest reply body of a call whose reply is a status or a short object.
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -83,12 +83,15 @@
     }
     HttpReader reader(HttpReader::MessageType::Response, HEAD_LIMIT, maxReplyBytes);
     int skippedReplies = 0;
+    HttpReply incomplete;
     while (!reader.done() && !reader.failed()) {
-        connection.consume(reader.feed(connection.receiveBuffer()));
+        const size_t consumed = reader.feed(connection.receiveBuffer());
+        connection.consume(consumed);
+        incomplete.bytesReceived += consumed;
         const std::string_view repliedId = reader.done() && !idField_.empty() ? findField(reader.fields(), idField_) : std::string_view{};
         if (!repliedId.empty() && repliedId != callId) {
             if (++skippedReplies > MAX_SKIPPED_REPLIES) {
-                co_return HttpReply{};
+                co_return incomplete;
             }
             reader = HttpReader(HttpReader::MessageType::Response, HEAD_LIMIT, maxReplyBytes);
             continue;
@@ -101,14 +104,14 @@
             break;
         }
         if (connection.readEnd() == ReadEnd::Broken || framework::monotonicNow() >= deadline) {
-            co_return HttpReply{};
+            co_return incomplete;
         }
         co_await connection.waitForBytes(connection.receiveBuffer().size(), deadline);
     }
     if (!reader.done()) {
-        co_return HttpReply{};
+        co_return incomplete;
     }
-    co_return HttpReply{reader.status(), reader.fields(), std::move(reader.body())};
+    co_return HttpReply{reader.status(), reader.fields(), std::move(reader.body()), incomplete.bytesReceived};
 }
 
 ConnectionPtr HttpCaller::takeIdle(const std::string &address)
