Tests: each run reserves a loopback network of its own

GatewayProcesses failed once with 'bind: Address already in use'. A run now holds a socket that reserves a random network, and uses ports below the ephemeral range.

--- a/src/gateway/tests/drain_tests.cpp
+++ b/src/gateway/tests/drain_tests.cpp
@@ -61,9 +61,8 @@
                    R"({"service":"model","address":")" + upstream_->address() + R"(","zone":"z","slots":200,"state":"ready","cold_remaining_ms":0,"born":1})");
         std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        const uint16_t peerPort = freePort(reactor_, network_ + "1");
         for (size_t number = 1; number <= GATEWAYS; ++number) {
-            gateways.push_back(std::make_unique<GatewayProcess>(reactor_, network_, number, store_.address(), peerPort, folder_));
+            gateways.push_back(std::make_unique<GatewayProcess>(network_, number, store_.address(), folder_));
             CHECK_TRUE(gateways.back()->start());
         }
     }
@@ -113,8 +112,6 @@
     std::vector<std::shared_ptr<SentStream>> sent;
 
 private:
-    const std::string network_ = "127.73.0.";
-
     void send(size_t gateway)
     {
         const auto entry = std::make_shared<SentStream>();
@@ -148,6 +145,7 @@
     }
 
     asio::io_context reactor_;
+    LoopbackNetwork network_{reactor_};
     FakeStore store_;
     std::unique_ptr<ScriptedUpstream> upstream_;
     std::filesystem::path folder_;
--- a/src/gateway/tests/endlessreplies_tests.cpp
+++ b/src/gateway/tests/endlessreplies_tests.cpp
@@ -59,7 +59,7 @@
         }
         store_.put("op/config", CONFIG);
         for (int rank = 0; rank < RANKS; ++rank) {
-            const std::string ip = "127.75.0." + std::to_string(rank + 10);
+            const std::string ip = network_.address(static_cast<size_t>(rank) + 10);
             acceptors_.push_back(transport::listenAt(reactor_.get_executor(), {asio::ip::make_address_v4(ip), 0}, [this](transport::ConnectionPtr connection) {
                 asio::co_spawn(reactor_, serve(std::move(connection)), asio::detached);
             }));
@@ -69,7 +69,7 @@
         }
         std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        gateway_ = std::make_unique<GatewayProcess>(reactor_, "127.75.0.", 1, store_.address(), freePort(reactor_, "127.75.0.1"), folder_);
+        gateway_ = std::make_unique<GatewayProcess>(network_, 1, store_.address(), folder_);
         CHECK_TRUE(gateway_->start());
     }
 
@@ -120,6 +120,7 @@
     }
 
     asio::io_context reactor_;
+    LoopbackNetwork network_{reactor_};
     FakeStore store_;
     Fault fault_;
     std::string bytes_;
--- a/src/gateway/tests/fleetfixture.h
+++ b/src/gateway/tests/fleetfixture.h
@@ -5,9 +5,9 @@
 
 #include "gateway/peerlink.h"
 #include "gatewayfixture.h"
+#include "loopbacknetwork.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/ip/udp.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -226,8 +226,7 @@
 class FleetFixture
 {
 public:
-    FleetFixture(const std::string &config, std::string service, size_t upstreams, BehaviourOf behaviourOf)
-        : config_(config), service_(std::move(service)), peerPort_(freePeerPort())
+    FleetFixture(const std::string &config, std::string service, size_t upstreams, BehaviourOf behaviourOf) : config_(config), service_(std::move(service))
     {
         for (size_t i = 0; i < upstreams; ++i) {
             upstreams_.push_back(
@@ -238,12 +237,12 @@
     /// Adds a gateway that knows the addresses of all existing ones.
     FleetGateway &addGateway()
     {
-        const std::string number = std::to_string(gateways_.size() + 1);
+        const size_t number = gateways_.size() + 1;
         fleet::NodeSettings settings;
-        settings.name = "gateway" + number;
-        settings.ip = "127.71.0." + number;
+        settings.name = "gateway" + std::to_string(number);
+        settings.ip = network_.address(number);
         settings.zone = "z";
-        settings.firstPeerPort = peerPort_;
+        settings.firstPeerPort = LoopbackNetwork::PEER_PORT;
         settings.memoryBytes = 256U << 20U;
         peers::Peer self;
         self.name = settings.name;
@@ -308,12 +307,7 @@
     asio::io_context reactor;
 
 private:
-    /// Returns a free port. All gateways use the same one, as each has its own loopback address.
-    uint16_t freePeerPort()
-    {
-        asio::ip::udp::socket probe(reactor, {asio::ip::make_address_v4("127.71.0.1"), 0});
-        return probe.local_endpoint().port();
-    }
+    LoopbackNetwork network_{reactor};
 
     void publishRegistrations()
     {
@@ -330,7 +324,6 @@
 
     std::string config_;
     std::string service_;
-    uint16_t peerPort_;
     std::vector<std::unique_ptr<CrashableUpstream>> upstreams_;
     std::vector<std::unique_ptr<FleetGateway>> gateways_;
     int64_t revision_ = 1;
--- a/src/gateway/tests/frozenupstream_tests.cpp
+++ b/src/gateway/tests/frozenupstream_tests.cpp
@@ -199,9 +199,6 @@
 {
     FrozenGroupFixture() : engines(reactor.get_executor())
     {
-        asio::ip::udp::socket probe(reactor, {asio::ip::make_address_v4("127.72.0.1"), 0});
-        const uint16_t peerPort = probe.local_endpoint().port();
-        probe.close();
         std::vector<fleet::StoredItem> items;
         for (size_t i = 0; i < ENGINES; ++i) {
             items.push_back({"e" + std::to_string(i),
@@ -212,9 +209,9 @@
         for (size_t i = 1; i <= GATEWAYS; ++i) {
             fleet::NodeSettings settings;
             settings.name = "gateway" + std::to_string(i);
-            settings.ip = "127.72.0." + std::to_string(i);
+            settings.ip = network.address(i);
             settings.zone = "z";
-            settings.firstPeerPort = peerPort;
+            settings.firstPeerPort = LoopbackNetwork::PEER_PORT;
             settings.memoryBytes = 256U << 20U;
             peers::Peer self;
             self.name = settings.name;
@@ -249,6 +246,7 @@
     }
 
     asio::io_context reactor;
+    LoopbackNetwork network{reactor};
     LockStepEngines engines;
     std::vector<std::unique_ptr<FleetGateway>> gateways;
     std::vector<std::shared_ptr<Caller>> callers;
--- a/src/gateway/tests/gatewayprocess.h
+++ b/src/gateway/tests/gatewayprocess.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gatewayfixture.h"
+#include "loopbacknetwork.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -18,29 +19,22 @@
 namespace daisymount::gateway::tests
 {
 
-inline uint16_t freePort(asio::io_context &reactor, const std::string &ip)
-{
-    asio::ip::tcp::acceptor probe(reactor, {asio::ip::make_address_v4(ip), 0});
-    return probe.local_endpoint().port();
-}
-
 /// Gateway process with an address of its own on loopback, killed at the latest by the destructor.
 class GatewayProcess
 {
 public:
-    GatewayProcess(asio::io_context &reactor, const std::string &network, size_t number, const std::string &store, uint16_t peerPort,
-                   const std::filesystem::path &folder)
+    GatewayProcess(const LoopbackNetwork &network, size_t number, const std::string &store, const std::filesystem::path &folder)
         : settings_(folder / ("gateway" + std::to_string(number) + ".toml")), log_(folder / ("gateway" + std::to_string(number) + ".log"))
     {
-        const std::string ip = network + std::to_string(number);
-        endpoint_ = {asio::ip::make_address_v4(ip), freePort(reactor, ip)};
+        const std::string ip = network.address(number);
+        endpoint_ = {asio::ip::make_address_v4(ip), LoopbackNetwork::CALLER_PORT};
         std::ofstream file(settings_);
         const auto address = [&](uint16_t port) { return "\"" + ip + ":" + std::to_string(port) + "\"\n"; };
-        file << "node_name = \"gateway" << number << "\"\nip = \"" << ip << "\"\nzone = \"z\"\nregion = \"r\"\nport_range = [" << peerPort << ","
-             << peerPort + 1 << "]\nseeds = [\"" << network << "1:1\"]\n[listen]\nfront = " << address(endpoint_.port())
-             << "ready = " << address(freePort(reactor, ip)) << "directory = " << address(freePort(reactor, ip))
-             << "[limits]\nmemory_mb = 256\nmax_fds = 1024\n[platform]\naddress = \"" << store
-             << "\"\n[bounds]\ncontact_ms = 3000\ngrace_s = 8\nbudget_slack = 1000.0\n";
+        file << "node_name = \"gateway" << number << "\"\nip = \"" << ip << "\"\nzone = \"z\"\nregion = \"r\"\nport_range = [" << LoopbackNetwork::PEER_PORT
+             << "," << LoopbackNetwork::PEER_PORT + 1 << "]\nseeds = [\"" << network.address(1)
+             << ":1\"]\n[listen]\nfront = " << address(LoopbackNetwork::CALLER_PORT) << "ready = " << address(LoopbackNetwork::READY_PORT)
+             << "directory = " << address(LoopbackNetwork::DIRECTORY_PORT) << "[limits]\nmemory_mb = 256\nmax_fds = 1024\n[platform]\naddress = \"" << store
+             << "\"\n[bounds]\ncontact_ms = 3000\nconfig_apply_ms = 3000\ngrace_s = 8\nbudget_slack = 1000.0\n";
     }
 
     ~GatewayProcess()
--- a/src/gateway/tests/lateingrace_tests.cpp
+++ b/src/gateway/tests/lateingrace_tests.cpp
@@ -51,7 +51,7 @@
                    R"({"service":"plain","address":")" + upstream_.address() + R"(","zone":"z","slots":500,"state":"ready","cold_remaining_ms":0,"born":1})");
         std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        gateway = std::make_unique<GatewayProcess>(reactor_, "127.74.0.", 1, store_.address(), freePort(reactor_, "127.74.0.1"), folder_);
+        gateway = std::make_unique<GatewayProcess>(network_, 1, store_.address(), folder_);
         CHECK_TRUE(gateway->start());
     }
 
@@ -104,6 +104,7 @@
     }
 
     asio::io_context reactor_;
+    LoopbackNetwork network_{reactor_};
     FakeStore store_;
     ScriptedUpstream upstream_;
     std::filesystem::path folder_;
--- a/src/gateway/tests/processes_tests.cpp
+++ b/src/gateway/tests/processes_tests.cpp
@@ -39,7 +39,7 @@
 class ProcessFixture
 {
 public:
-    ProcessFixture() : store_(reactor_.get_executor())
+    explicit ProcessFixture(size_t gateways = GATEWAYS) : store_(reactor_.get_executor())
     {
         store_.put("op/config", CONFIG);
         for (size_t i = 0; i < UPSTREAMS; ++i) {
@@ -50,9 +50,8 @@
         }
         std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-XXXXXX").string();
         folder_ = ::mkdtemp(pattern.data());
-        const uint16_t peerPort = freePort(reactor_, "127.72.0.1");
-        for (size_t number = 1; number <= GATEWAYS; ++number) {
-            gateways_.push_back(std::make_unique<GatewayProcess>(reactor_, "127.72.0.", number, store_.address(), peerPort, folder_));
+        for (size_t number = 1; number <= gateways; ++number) {
+            gateways_.push_back(std::make_unique<GatewayProcess>(network_, number, store_.address(), folder_));
         }
     }
 
@@ -73,6 +72,7 @@
     /// Kills the processes and removes their files.
     void end()
     {
+        throttled_ = nullptr;
         killAll();
         std::filesystem::remove_all(folder_);
     }
@@ -86,6 +86,34 @@
         asio::co_spawn(reactor_, sendAndReadResponse(reactor_.get_executor(), endpoint, bytes, std::move(onEnd)), asio::detached);
     }
 
+    /// Sends a request to one gateway and returns the status of the response, 0 if there is none.
+    int statusAt(size_t gateway, const std::string &path)
+    {
+        auto status = std::make_shared<int>(-1);
+        const std::string bytes = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: s" + std::to_string(random_())
+            + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
+        asio::co_spawn(reactor_,
+                       sendAndReadResponse(reactor_.get_executor(), gateways_[gateway]->endpoint(), bytes,
+                                           [status](const CallerResult &result) { *status = result.status; }),
+                       asio::detached);
+        while (*status < 0) {
+            run(milliseconds{5});
+        }
+        return *status;
+    }
+
+    /// Runs gateway @p number only a quarter of the time from now on.
+    void throttle(size_t number)
+    {
+        throttled_ = gateways_[number].get();
+        asio::co_spawn(reactor_, alternate(), asio::detached);
+    }
+
+    FakeStore &store()
+    {
+        return store_;
+    }
+
     void run(milliseconds duration)
     {
         reactor_.run_for(duration);
@@ -96,11 +124,11 @@
     {
         const framework::Instant end = framework::monotonicNow() + within;
         size_t served = 0;
-        while (served < 4 * GATEWAYS && framework::monotonicNow() < end) {
+        while (served < 4 * gateways_.size() && framework::monotonicNow() < end) {
             send("/safe/probe", "sound", [&served](const CallerResult &result) { served = result.status == 200 ? served + 1 : 0; });
             run(milliseconds{100});
         }
-        return served >= 4 * GATEWAYS;
+        return served >= 4 * gateways_.size();
     }
 
     std::vector<framework::Instant> crashes() const
@@ -108,14 +136,19 @@
         return crashTimes(upstreams_);
     }
 
-    const FakeStore &store() const
-    {
-        return store_;
-    }
-
     std::vector<framework::Instant> arrivedAt; ///< Arrival times of the crashing request at upstreams.
 
 private:
+    asio::awaitable<void> alternate()
+    {
+        while (throttled_ != nullptr && throttled_->id() > 0) {
+            ::kill(throttled_->id(), SIGSTOP);
+            co_await transport::sleepFor(milliseconds{60});
+            ::kill(throttled_->id(), SIGCONT);
+            co_await transport::sleepFor(milliseconds{20});
+        }
+    }
+
     Behaviour behaviour(const ReceivedRequest &received)
     {
         if (received.body != CRASHING_BODY) {
@@ -135,9 +168,11 @@
     }
 
     asio::io_context reactor_;
+    LoopbackNetwork network_{reactor_};
     FakeStore store_;
     std::vector<std::unique_ptr<CrashableUpstream>> upstreams_;
     std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+    GatewayProcess *throttled_ = nullptr;
     std::filesystem::path folder_;
     std::minstd_rand random_{1};
 };
