transport: large messages are read in few turns of a busy loop

A connection read 8 KB in each turn of the event loop, and the time-out of a call counted the turns: a gateway whose loop was busy with searches had 80 to 370 KB of a page of half a megabyte when the 400 ms were over (call_failed lines), again and again. A turn now reads up to 128 KB, and time in which the process reads nothing does not count against a call, up to as long again as its time-out. An error that such a read meets is kept: a reset is reported once only, and would look like the end of a whole message afterwards.

--- a/src/framework/looppauses.cpp
+++ b/src/framework/looppauses.cpp
@@ -7,12 +7,19 @@
 namespace daisymount::framework
 {
 
+LoopPauses::Pause LoopPauses::current(Instant now) const
+{
+    const Instant begin = lastTick_ + TICK_INTERVAL + TOLERANCE;
+    return lastTick_ != Instant{0} && now > begin ? Pause{begin, now} : Pause{now, now};
+}
+
 void LoopPauses::onTick(Instant now)
 {
-    const Instant expected = lastTick_ + TICK_INTERVAL;
-    if (lastTick_ != Instant{0} && now > expected + TOLERANCE) {
-        pauses_.push_back({expected, now});
-        onPause(now - expected);
+    const Pause pause = current(now);
+    if (pause.end > pause.begin) {
+        pauses_.push_back(pause);
+        total_ += pause.end - pause.begin;
+        onPause(pause.end - pause.begin);
     }
     while (!pauses_.empty() && now - pauses_.front().end > RETENTION) {
         pauses_.pop_front();
@@ -25,13 +32,26 @@
     Duration sum{0};
     const auto addOverlap = [&](const Pause &pause) { sum += std::max<Duration>(Duration{0}, std::min(pause.end, to) - std::max(pause.begin, from)); };
     std::ranges::for_each(pauses_, addOverlap);
-    const Instant expected = lastTick_ + TICK_INTERVAL;
-    if (lastTick_ != Instant{0} && to > expected + TOLERANCE) {
-        addOverlap({expected, to});
-    }
+    addOverlap(current(to));
     return sum;
 }
 
+Instant LoopPauses::listeningTime(Instant now) const
+{
+    const Pause pause = current(now);
+    return now - total_ - (pause.end - pause.begin);
+}
+
+Instant LoopPauses::earliestArrival(Instant now) const
+{
+    const Pause ongoing = current(now);
+    if (ongoing.begin < now) {
+        return ongoing.begin;
+    }
+    const bool justEnded = !pauses_.empty() && now - pauses_.back().end <= TICK_INTERVAL;
+    return justEnded ? pauses_.back().begin : now;
+}
+
 Duration LoopPauses::longest(Instant now) const
 {
     Duration longest{0};
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -80,6 +80,8 @@
 
 private:
     void readMore();
+    /// Reads what has arrived without waiting, up to the limit of one turn.
+    void readAvailable();
     void finishReading(ReadEnd end);
 
     asio::ip::tcp::socket socket_;
--- a/src/transport/httpcaller.h
+++ b/src/transport/httpcaller.h
@@ -6,6 +6,7 @@
 #include "transport/connection.h"
 #include "transport/httpreader.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -36,16 +37,21 @@
     /// as none: a faulty server may send bytes without end.
     asio::awaitable<HttpReply> call(std::string address, std::string method, std::string target, std::string body, milliseconds timeout,
                                     HeaderFields fields = {}, uint64_t maxReplyBytes = SHORT_REPLY_BYTES);
+    /// Sets a hook that tells for how long this process read nothing within a span. That time does not count against the time-out of a call, up to as
+    /// long again as the time-out.
+    void setPausedWithin(std::function<Duration(Instant from, Instant to)> pausedWithin);
     /// Closes all idle connections.
     void closeIdleConnections();
 
 private:
-    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, std::string callId, Instant deadline, uint64_t maxReplyBytes);
+    asio::awaitable<HttpReply> exchange(Connection &connection, std::string request, std::string callId, Instant begin, milliseconds timeout,
+                                        uint64_t maxReplyBytes);
     ConnectionPtr takeIdle(const std::string &address);
     /// Closes connections that are no longer reusable, of all addresses.
     void closeExpired(Instant now);
 
     asio::any_io_executor executor_;
+    std::function<Duration(Instant from, Instant to)> pausedWithin_ = [](Instant, Instant) { return Duration{0}; };
     std::string idField_;
     std::string idPrefix_; ///< Differs between processes.
     uint64_t calls_ = 0;
--- a/src/transport/internal/connection.cpp
+++ b/src/transport/internal/connection.cpp
@@ -19,6 +19,8 @@
 {
 /// Reading pauses at this size until bytes are consumed, so that a fast peer cannot exhaust memory.
 constexpr size_t RECEIVE_BUFFER_LIMIT = 256 * 1024;
+/// Bytes that one turn of the event loop reads. With fewer, a large message takes so many turns that a busy process does not receive it in time.
+constexpr size_t BYTES_PER_TURN = 128 * 1024;
 /// TCP_USER_TIMEOUT: the connection fails if sent data stays unacknowledged for this long, as behind a network partition.
 constexpr unsigned UNACKNOWLEDGED_LIMIT_MS = 3'000;
 
@@ -108,11 +110,32 @@
             return;
         }
         self->receiveBuffer_.append(self->chunk_.data(), bytes);
+        if (bytes == self->chunk_.size()) {
+            self->readAvailable();
+        }
         self->readMore();
         self->wake();
     });
 }
 
+void Connection::readAvailable()
+{
+    boost::system::error_code error;
+    size_t read = 0;
+    while (!error && read < BYTES_PER_TURN && receiveBuffer_.size() - consumed_ < RECEIVE_BUFFER_LIMIT) {
+        const size_t bytes = socket_.read_some(asio::buffer(chunk_), error);
+        receiveBuffer_.append(chunk_.data(), bytes);
+        read += bytes;
+        if (bytes < chunk_.size()) {
+            break;
+        }
+    }
+    // A reset is reported only once, and would look like the end of a complete message after that.
+    if (error && error != asio::error::would_block) {
+        finishReading(error == asio::error::eof ? ReadEnd::Finished : ReadEnd::Broken);
+    }
+}
+
 void Connection::finishReading(ReadEnd end)
 {
     if (readEnd_ != ReadEnd::Open) {
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -27,7 +27,7 @@
 asio::awaitable<HttpReply> HttpCaller::call(std::string address, std::string method, std::string target, std::string body, milliseconds timeout,
                                             HeaderFields fields, uint64_t maxReplyBytes)
 {
-    const Instant deadline = framework::monotonicNow() + timeout;
+    const Instant begin = framework::monotonicNow();
     std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address + "\r\n";
     for (const auto &[name, value] : fields) {
         request += name + ": " + value + "\r\n";
@@ -52,7 +52,7 @@
             co_return HttpReply{};
         }
     }
-    HttpReply reply = co_await exchange(*connection, std::move(request), callId, deadline, maxReplyBytes);
+    HttpReply reply = co_await exchange(*connection, std::move(request), callId, begin, timeout, maxReplyBytes);
     const bool reusable = reply.status != 0 && connection->open() && connection->receiveBuffer().empty() && findField(reply.fields, "Connection") != "close";
     if (reusable) {
         connection->idleSince = framework::monotonicNow();
@@ -75,9 +75,16 @@
     idle_.clear();
 }
 
-asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, std::string callId, Instant deadline, uint64_t maxReplyBytes)
+void HttpCaller::setPausedWithin(std::function<Duration(Instant from, Instant to)> pausedWithin)
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(deadline - framework::monotonicNow());
+    pausedWithin_ = std::move(pausedWithin);
+}
+
+asio::awaitable<HttpReply> HttpCaller::exchange(Connection &connection, std::string request, std::string callId, Instant begin, milliseconds timeout,
+                                                uint64_t maxReplyBytes)
+{
+    const auto deadline = [&] { return begin + timeout + std::min<Duration>(timeout, pausedWithin_(begin, framework::monotonicNow())); };
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline() - framework::monotonicNow());
     if (!co_await connection.write(request, std::max(left, milliseconds{1}))) {
         co_return HttpReply{};
     }
@@ -103,10 +110,10 @@
             reader.feedEof();
             break;
         }
-        if (connection.readEnd() == ReadEnd::Broken || framework::monotonicNow() >= deadline) {
+        if (connection.readEnd() == ReadEnd::Broken || framework::monotonicNow() >= deadline()) {
             co_return incomplete;
         }
-        co_await connection.waitForBytes(connection.receiveBuffer().size(), deadline);
+        co_await connection.waitForBytes(connection.receiveBuffer().size(), deadline());
     }
     if (!reader.done()) {
         co_return incomplete;
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <random>
+#include <thread>
 
 using namespace daisymount::transport;
 
@@ -220,3 +221,44 @@
     LONGS_EQUAL(200, replies[1].status);
     STRCMP_EQUAL("1", replies[1].body.c_str());
 }
+
+namespace
+{
+/// Keeps @p reactor busy: each turn of the loop takes @p turn.
+void keepBusy(asio::io_context &reactor, std::chrono::milliseconds turn)
+{
+    asio::post(reactor, [&reactor, turn] {
+        std::this_thread::sleep_for(turn);
+        keepBusy(reactor, turn);
+    });
+}
+} // namespace
+
+/// Guards against large replies that a busy process does not read in time although they have arrived.
+TEST(HttpCaller, aLargeReplyIsReceivedInFewTurnsOfABusyLoop)
+{
+    asio::io_context server;
+    asio::io_context client;
+    const std::string body(600'000, 'x');
+    asio::ip::tcp::acceptor probe(server, {asio::ip::address_v4::loopback(), 0});
+    const asio::ip::tcp::endpoint endpoint = probe.local_endpoint();
+    probe.close();
+    listenAndServe(server.get_executor(), endpoint, [&](const ServerRequest &) { return ServerResponse{200, "text/plain", body}; });
+    std::thread serving([&] { server.run(); });
+    daisymount::transport::HttpCaller caller(client.get_executor());
+    HttpReply reply;
+    asio::co_spawn(
+        client,
+        [&]() -> asio::awaitable<void> {
+            const std::string address = "127.0.0.1:" + std::to_string(endpoint.port());
+            reply = co_await caller.call(address, "GET", "/", "", std::chrono::milliseconds{1'000}, {}, 1U << 20U);
+            client.stop();
+        },
+        asio::detached);
+    keepBusy(client, std::chrono::milliseconds{20});
+    client.run_for(std::chrono::seconds{5});
+    server.stop();
+    serving.join();
+    LONGS_EQUAL(200, reply.status);
+    LONGS_EQUAL(body.size(), reply.body.size());
+}
