--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -79,6 +79,8 @@
     const std::map<std::string, KnownUpstream, std::less<>> &upstreams() const;
     int64_t configRevision() const;
     int64_t zonesRevision() const;
+    /// Equal for equal zones out of service.
+    uint32_t zonesDigest() const;
     int64_t upstreamsRevision() const;
     const StoredItem &configItem() const;
     const Snapshot &upstreamItems() const;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/fleetview.h"
 
+#include "framework/hash.h"
+
 #include <algorithm>
 
 namespace daisymount::fleet
@@ -162,6 +164,15 @@
     return zonesRevision_;
 }
 
+uint32_t FleetView::zonesDigest() const
+{
+    std::string names;
+    for (const std::string &zone : zonesOut_) {
+        names += zone + '\n';
+    }
+    return static_cast<uint32_t>(framework::hash64(names));
+}
+
 int64_t FleetView::upstreamsRevision() const
 {
     return upstreamItems_.revision;
--- a/src/fleet/nodesettings.h
+++ b/src/fleet/nodesettings.h
@@ -19,7 +19,9 @@
 {
     milliseconds contact{3'000}; ///< Time after the end of a disturbance from which the time bounds apply.
     milliseconds drain{2'000}; ///< A draining upstream gets no new requests after this time.
-    milliseconds configApply{2'000};
+    milliseconds configApply{2'000}; ///< An accepted configuration is in force everywhere after this time.
+    bool revokeWhenPartitioned = false; ///< A gateway that cannot know whether its configuration is current refuses requests after revoke.
+    milliseconds revoke{5'000};
     milliseconds evacuate{5'000};
     milliseconds grace{8'000}; ///< From SIGTERM to SIGKILL.
     double retryBudgetRatio = 0.2;
@@ -29,6 +31,12 @@
     double coldSlack = 0.0;
     milliseconds passPause{120}; ///< A stream counts as late if an event is forwarded after a longer delay.
     milliseconds addressTtlMax{5'000};
+
+    /// Longest time for which a gateway may use a configuration without evidence that there is no newer one.
+    milliseconds maxConfigAge() const
+    {
+        return configApply / 2;
+    }
 };
 
 /// Rule by which requests to model engines are admitted.
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "configsync/configcurrency.h"
 #include "crashattribution/crashattribution.h"
 #include "dispatch/completiontimes.h"
 #include "dispatch/dispatcher.h"
@@ -9,6 +10,7 @@
 #include "dispatch/groupdirectory.h"
 #include "dispatch/passpace.h"
 #include "dispatch/retrydelay.h"
+#include "dispatch/retrydetector.h"
 #include "dispatch/retryshare.h"
 #include "dispatch/silencedetector.h"
 #include "fleet/fleetview.h"
@@ -35,6 +37,7 @@
     transport::asio::any_io_executor executor;
     framework::LoopPauses loopPauses;
     fleet::FleetView view;
+    configsync::ConfigCurrency currency; ///< Of the operators' keys in view.
     dispatch::Dispatcher dispatcher;
     dispatch::GroupDirectory groups; ///< Empty if engines are admitted by slots.
     dispatch::EngineAdmission admission;
@@ -60,6 +63,8 @@
 
     std::function<void(dispatch::GroupList)> onGroupList
         = [](const dispatch::GroupList &) {}; ///< Called with a list of rank groups that may be newer than groups.
+    std::function<void()> onOwnKeysRead = [] {}; ///< Called when this gateway has read changed operator keys from the store.
+    std::function<void()> onNewerKeysKnown = [] {}; ///< Called when a peer tells of newer operator keys.
     std::function<void()> onCrashRecorded = [] {}; ///< Called when this gateway has found that an upstream crashed.
 
     std::set<crashattribution::Fingerprint> trials; ///< Suspects that this gateway is trying at an upstream.
@@ -77,6 +82,10 @@
     /// Returns true when no request is being read or processed and no connection was accepted so recently that its first request may be in
     /// transit.
     bool nothingPending(Instant now) const;
+    /// Clock on which silence of others is measured, see framework::LoopPauses.
+    Instant listeningTime(Instant now) const;
+    /// True if the settings ask to refuse requests, because nothing has shown for too long that the configuration is current.
+    bool mustRefuseAsStale(Instant now) const;
 
     GatewayContext(fleet::NodeSettings nodeSettings, const transport::asio::any_io_executor &reactor, peers::Peer self, uint64_t seed);
 };
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -108,7 +108,7 @@
         context_.loadControl.admission(service_).onCompleted(now - attempt.startedAt);
     }
     if (attempt.silenceId) {
-        context_.silenceDetector.onEnded(*attempt.silenceId, now);
+        context_.silenceDetector.onEnded(*attempt.silenceId, context_.listeningTime(now));
     }
     if (outcome == AttemptOutcome::MayHaveRun) {
         mayHaveRun_ = true;
@@ -159,7 +159,7 @@
                           {"head_ms", std::to_string(toMilliseconds(attempt.timeToHead).count())},
                           {"events", std::to_string(events_.eventsWithData() - attempt.eventsAtStart)},
                           {"upstream_silent_ms", millisecondsText(context_.dispatcher.silence(attempt.placement.upstream, now))},
-                          {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(attempt.group, now))},
+                          {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(attempt.group, context_.listeningTime(now)))},
                           {"ms", std::to_string(toMilliseconds(now - attempt.startedAt).count())}}});
 }
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -68,7 +68,7 @@
 
 asio::awaitable<bool> Exchange::run()
 {
-    if (!context_.view.hasConfig()) {
+    if (!context_.view.hasConfig() || context_.mustRefuseAsStale(framework::monotonicNow())) {
         co_return co_await sendRefusal(ResultCode::ConfigurationStale,
                                        context_.retryDelay.choose(dispatch::RefusalCause::Outage, request_.headers.deadline.value_or(ASSUMED_TIME_LEFT)));
     }
@@ -227,7 +227,7 @@
     dispatch::RequestLength request{route.name, deadline_, std::nullopt, request_.headers.maxAnswerTokens};
     const auto service = match_.config->services.find(service_);
     if (route.kind == fleet::RequestKind::Stream && request.statedTokens > 0 && service != match_.config->services.end() && service->second.engine) {
-        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(group_.empty() ? service_ : group_, now);
+        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(group_.empty() ? service_ : group_, context_.listeningTime(now));
         request.stated
             = dispatch::longestStream({request.statedTokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
     }
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -115,7 +115,7 @@
     if (attempt.pooled.connection && !callerDisconnected_ && mayStillSend) {
         upstreamConnection_ = attempt.pooled.connection;
         if (match_.route->kind == fleet::RequestKind::Stream && context_.dispatcher.hasEngines(service_)) {
-            attempt.silenceId = context_.silenceDetector.onSent(attempt.group, placement.upstream, framework::monotonicNow());
+            attempt.silenceId = context_.silenceDetector.onSent(attempt.group, placement.upstream, context_.listeningTime(framework::monotonicNow()));
         }
         outcome = co_await sendAndRelay(attempt);
     } else {
@@ -296,7 +296,7 @@
 bool Exchange::shouldFailOver(const Attempt &attempt, Instant now) const
 {
     return attempt.silenceId && static_cast<int>(triedUpstreams_.size()) < match_.route->maxAttempts && canRetry(AttemptOutcome::MayHaveRun)
-        && context_.silenceDetector.shouldFailOver(*attempt.silenceId, now) && context_.retryBudget.canRetry(service_, now);
+        && context_.silenceDetector.shouldFailOver(*attempt.silenceId, context_.listeningTime(now)) && context_.retryBudget.canRetry(service_, now);
 }
 
 Instant Exchange::firstEventLimit() const
@@ -310,14 +310,15 @@
         return false;
     }
     const bool isLate = now - request_.receivedAt > streamPatience() * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR;
-    return now >= firstEventLimit() || (isLate && attempt.silenceId && context_.silenceDetector.isWaitingInVain(*attempt.silenceId, now));
+    return now >= firstEventLimit()
+        || (isLate && attempt.silenceId && context_.silenceDetector.isWaitingInVain(*attempt.silenceId, context_.listeningTime(now)));
 }
 
 void Exchange::recordProgress(const Attempt &attempt, Instant now)
 {
     context_.dispatcher.onProgress(attempt.placement.upstream, now);
     if (attempt.silenceId) {
-        context_.silenceDetector.onProgress(*attempt.silenceId, now);
+        context_.silenceDetector.onProgress(*attempt.silenceId, context_.listeningTime(now));
     }
 }
 
@@ -408,10 +409,11 @@
 {
     // The time before the first event is queueing and prompt processing and does not measure a forward pass.
     const int passes = eventsRecorded_ > 0 ? events_.eventCount() - eventsRecorded_ : 0;
-    context_.passTimeTracker.onEvents(attempt.group, now - lastRecordedAt_, passes, now);
+    const Duration gap = now - lastRecordedAt_ - context_.loopPauses.within(lastRecordedAt_, now);
+    context_.passTimeTracker.onEvents(attempt.group, gap, passes, context_.listeningTime(now));
     if (passes > 0) {
         if (context_.loadControl.isAdaptive(service_)) {
-            context_.loadControl.onPass(service_, attempt.group, (now - lastRecordedAt_) / passes, now);
+            context_.loadControl.onPass(service_, attempt.group, gap / passes, now);
         }
         longestPause_ = std::max(longestPause_, now - lastRecordedAt_);
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -35,6 +35,8 @@
 /// rest of that time covers the interval until the next read and the transmission of the response.
 constexpr int READER_FRESH_NUMERATOR = 9;
 constexpr int READER_FRESH_DENOMINATOR = 20;
+/// The longest retry delay is the contact bound divided by this number, so that a recovered store is detected in time.
+constexpr int STORE_RETRIES_PER_CONTACT = 3;
 
 int64_t unixMillis()
 {
@@ -50,6 +52,7 @@
     self.ip = settings.ip;
     self.callerAddress = settings.callerAddress;
     self.zone = settings.zone;
+    self.processorShare = settings.processorShare;
     return self;
 }
 
@@ -64,19 +67,24 @@
     : settings(std::move(nodeSettings))
     , executor(reactor)
     , view(platform::fleetDecoder())
+    , currency({.maxAge = settings.bounds.maxConfigAge(), .maxRetryInterval = settings.bounds.contact / STORE_RETRIES_PER_CONTACT, .seed = seed})
     , dispatcher({settings.zone, settings.bounds.coldOvershoot, settings.bounds.coldSlack, seed})
     , admission({}, seed)
     , retryDelay(seed)
     , retryBudget({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow}, framework::monotonicNow())
     , pool(reactor)
     , httpClient(reactor)
-    , peers(std::move(self), {.maxReaderAge = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR, .seed = seed})
+    , peers(std::move(self),
+            {.maxReaderAge = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR,
+             .pausedWithin = [this](Instant from, Instant to) { return loopPauses.within(from, to); },
+             .seed = seed})
     , crashes({.seed = seed})
     , crashDetector(*this)
     , log({settings.name, settings.zone})
     , loadControl(*this, seed)
     , random(static_cast<unsigned>(seed))
 {
+    httpClient.setPausedWithin([this](Instant from, Instant to) { return loopPauses.within(from, to); });
     loopPauses.onPause = [this](framework::Duration pause) {
         log.report({"process", "loop_paused", ResultCode::Ok, "", {{"ms", std::to_string(std::chrono::duration_cast<milliseconds>(pause).count())}}});
     };
@@ -113,6 +121,17 @@
     return activeRequests == 0 && requestsBeingRead == 0 && now - acceptedAt > FIRST_REQUEST_WAIT;
 }
 
+Instant GatewayContext::listeningTime(Instant now) const
+{
+    return loopPauses.listeningTime(now);
+}
+
+bool GatewayContext::mustRefuseAsStale(Instant now) const
+{
+    const std::optional<framework::Duration> age = currency.evidenceAge(now);
+    return settings.bounds.revokeWhenPartitioned && (!age || *age > settings.bounds.revoke);
+}
+
 Gateway::Gateway(const fleet::NodeSettings &settings, SettingsReader reader)
     : reactor_(1)
     , reader_(std::move(reader))
@@ -123,6 +142,7 @@
     , mapController_(context_)
     , signals_(reactor_, SIGTERM, SIGINT, SIGHUP)
 {
+    context_.onNewerKeysKnown = [this] { storeSync_.wakeSync(); };
     context_.onConvicted = [this](crashattribution::Fingerprint fingerprint) { convictionStore_.onConvicted(fingerprint); };
     context_.onConvictionLifted = [this](crashattribution::Fingerprint fingerprint) { convictionStore_.onConvictionLifted(fingerprint); };
 }
@@ -250,6 +270,7 @@
         BOOST_LEAF_AUTO(settings, reader_());
         // Addresses and names are fixed for the lifetime of the process; bounds and the store settings may change.
         context_.settings.bounds = settings.bounds;
+        context_.currency.setMaxAge(settings.bounds.maxConfigAge());
         context_.settings.store = settings.store;
         return {};
     });
@@ -321,8 +342,12 @@
     context_.metrics.setGauge("peers_possibly_alive", context_.peers.possiblyAliveCount(framework::monotonicNow()));
     context_.metrics.setGauge("crash_suspects", static_cast<double>(context_.crashes.suspects()));
     context_.metrics.setGauge("crash_convictions", static_cast<double>(context_.crashes.convictions(framework::monotonicNow())));
-    const framework::Duration longestPause = context_.loopPauses.longest(framework::monotonicNow());
-    context_.metrics.setGauge("longest_loop_pause_seconds", std::chrono::duration<double>(longestPause).count());
+    const Instant now = framework::monotonicNow();
+    const auto seconds = [](framework::Duration duration) { return std::chrono::duration<double>(duration).count(); };
+    context_.metrics.setGauge("config_behind_seconds", seconds(context_.currency.behindFor(now)));
+    context_.metrics.setGauge("config_evidence_age_seconds", seconds(context_.currency.evidenceAge(now).value_or(framework::Duration{-1'000'000})));
+    const framework::Duration longestPause = context_.loopPauses.longest(now);
+    context_.metrics.setGauge("longest_loop_pause_seconds", seconds(longestPause));
     context_.loadControl.forEachLoad([this](std::string_view service, double limit, double inFlight) {
         context_.metrics.setGauge("limit_" + std::string(service), limit);
         context_.metrics.setGauge("in_flight_" + std::string(service), inFlight);
--- a/src/gateway/internal/loadcontrol.cpp
+++ b/src/gateway/internal/loadcontrol.cpp
@@ -78,6 +78,7 @@
     if (known == config->services.end() || !known->second.engine) {
         return views;
     }
+    const Instant listening = context_.listeningTime(now);
     const auto policy = policies().find(service);
     const Duration pause = policy == policies_.end() ? Duration{0} : policy->second.shortestPause;
     for (const std::string &key : context_.groups.keysOf(service)) {
@@ -88,14 +89,15 @@
         } else if (down_.erase(key) > 0) {
             admission(service).onGroupReopened(key, now);
         }
-        const bool down = lacksRank || context_.passTimeTracker.stalled(key, now);
+        const bool down = lacksRank || context_.passTimeTracker.stalled(key, listening);
         dispatch::GroupView view;
         view.key = key;
         view.capacity = {*known->second.engine, std::max(load.usable, context_.groups.ranksOf(key)), pause};
         view.ownInFlight = load.inFlight;
         view.inFlight = load.inFlight + context_.peers.inFlightOfOthers(key, now);
         // A rank that is only unreachable for the controller does not stop the others.
-        view.usable = load.usable > 0 && (!down || context_.passTimeTracker.progressing(key, now)) && !context_.silenceDetector.isServiceSilent(key, now);
+        view.usable
+            = load.usable > 0 && (!down || context_.passTimeTracker.progressing(key, listening)) && !context_.silenceDetector.isServiceSilent(key, listening);
         views.push_back(std::move(view));
     }
     return views;
--- /dev/null
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -0,0 +1,279 @@
+// Keeps the operators' keys, the configuration and the zones out of service, current: watches of the store, and newer keys of peers.
+
+#include "framework/json.h"
+#include "gateway/storesync.h"
+#include "platform/fleetcodec.h"
+#include "transport/tasks.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace daisymount::gateway
+{
+
+namespace
+{
+namespace asio = transport::asio;
+using framework::ResultCode;
+using platform::ReadConsistency;
+using transport::Duration;
+
+/// Time in which the store answers, beside the time that a call waits for a change.
+constexpr milliseconds ANSWER_TIMEOUT{500};
+constexpr milliseconds CHECK_TIMEOUT{1'000};
+/// A watch call that does not wait for a change.
+constexpr milliseconds NO_WAIT{1};
+/// Subtracted from the contact bound to get the watch timeout, so that a dead connection is detected within the bound.
+constexpr milliseconds WATCH_MARGIN{1'000};
+constexpr milliseconds MIN_WATCH_TIMEOUT{500};
+/// The first gateway of a zone asks this often within the time for which keys may be without evidence that they are current.
+constexpr int CONFIRMATIONS_PER_MAX_AGE = 3;
+constexpr milliseconds MIN_CONFIRMATION_INTERVAL{200};
+/// How often a gateway that relies on the watches of others checks whether it must watch the store itself.
+constexpr milliseconds WATCH_DUTY_POLL_INTERVAL{200};
+/// A gateway goes on watching for this long after others do, since beliefs about the members change as heartbeats are lost.
+constexpr milliseconds WATCH_DUTY_RETENTION{3'000};
+constexpr milliseconds SYNC_INTERVAL{250};
+
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+} // namespace
+
+milliseconds StoreSync::watchTimeout() const
+{
+    if (context_.peers.isFirstOfZone(framework::monotonicNow())) {
+        return std::max(MIN_CONFIRMATION_INTERVAL, context_.settings.bounds.maxConfigAge() / CONFIRMATIONS_PER_MAX_AGE);
+    }
+    return std::max(MIN_WATCH_TIMEOUT, context_.settings.bounds.contact - WATCH_MARGIN);
+}
+
+asio::awaitable<void> StoreSync::waitForWatchDuty()
+{
+    const Instant begin = framework::monotonicNow();
+    bool leftToOthers = false;
+    while (true) {
+        const Instant now = framework::monotonicNow();
+        if (!context_.view.hasConfig() || context_.peers.mustWatchStore(now)) {
+            watchNeededAt_ = now;
+        }
+        if (now - watchNeededAt_ <= WATCH_DUTY_RETENTION) {
+            break;
+        }
+        if (!leftToOthers) {
+            leftToOthers = true;
+            context_.peers.self().watchesStore = false;
+            context_.log.report({"store", "watch_left_to_others", ResultCode::Ok, "", {{"revision", std::to_string(context_.currency.confirmedRevision())}}});
+        }
+        co_await transport::sleepFor(WATCH_DUTY_POLL_INTERVAL);
+    }
+    if (leftToOthers) {
+        context_.log.report({"store", "watch_resumed", ResultCode::Ok, "", {{"relied_ms", millisecondsText(framework::monotonicNow() - begin)}}});
+    }
+}
+
+asio::awaitable<void> StoreSync::watchOperatorKeys()
+{
+    int failures = 0;
+    while (true) {
+        co_await waitForWatchDuty();
+        bool read = false;
+        if (context_.currency.confirmedRevision() == 0) {
+            read = co_await readOperatorKeys();
+        } else {
+            read = co_await readChanges("watch", watchTimeout());
+        }
+        context_.peers.self().watchesStore = read;
+        failures = read ? 0 : failures + 1;
+        if (!read) {
+            co_await transport::sleepFor(retryDelay(failures - 1));
+        }
+    }
+}
+
+asio::awaitable<bool> StoreSync::readOperatorKeys()
+{
+    const Instant askedAt = framework::monotonicNow();
+    platform::StorePage page;
+    if (!co_await readRange(std::string(platform::OPERATOR_PREFIX), ReadConsistency::Linearizable, page)) {
+        co_return false;
+    }
+    zonesOut_.clear();
+    for (const platform::StoreItem &item : page.items) {
+        applyOperatorItem(item, false);
+    }
+    applyZones(page.revision);
+    publishKeys(page.revision, askedAt, true);
+    co_return true;
+}
+
+asio::awaitable<bool> StoreSync::readChanges(std::string_view name, milliseconds wait)
+{
+    const Instant askedAt = framework::monotonicNow();
+    const int64_t after = context_.currency.confirmedRevision();
+    const milliseconds timeout = wait + (wait == NO_WAIT ? CHECK_TIMEOUT : ANSWER_TIMEOUT);
+    const auto reply = co_await call(name, platform::watchCall(platform::OPERATOR_PREFIX, after, wait), timeout);
+    const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
+        BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
+        bool zonesChanged = false;
+        for (const platform::StoreChange &change : changes.changes) {
+            applyOperatorItem(change.item, change.deleted);
+            zonesChanged = zonesChanged || change.item.key.starts_with(platform::ZONE_EVACUATION_PREFIX);
+        }
+        if (zonesChanged) {
+            // The revision advances only when zones change, because peers fetch whatever is newer than their own copy.
+            applyZones(changes.revision);
+        }
+        // A call without changes was answered when its wait had ended.
+        const bool waited = changes.changes.empty() && framework::monotonicNow() - askedAt >= wait;
+        publishKeys(changes.revision, waited ? askedAt + wait : askedAt, !changes.changes.empty());
+        return {};
+    });
+    if (read.code == ResultCode::CasConflict) {
+        context_.log.report({"store", "history_gone", read.code, "", {{"revision", std::to_string(after)}}});
+        context_.currency.onHistoryGone();
+    }
+    co_return static_cast<bool>(read);
+}
+
+void StoreSync::applyOperatorItem(const platform::StoreItem &item, bool deleted)
+{
+    if (item.key == platform::CONFIG_KEY && !deleted) {
+        const Duration behind = context_.currency.behindFor(framework::monotonicNow());
+        const bool applied = context_.view.applyConfig({item.key, item.value, item.revision});
+        const bool rejected = !applied && item.revision > context_.view.configRevision();
+        context_.log.report({"configuration",
+                             applied        ? "applied"
+                                 : rejected ? "rejected"
+                                            : "kept",
+                             rejected ? ResultCode::BadMessage : ResultCode::Ok,
+                             "",
+                             {{"revision", std::to_string(item.revision)},
+                              {"version", std::to_string(context_.view.config()->version)},
+                              {"behind_ms", millisecondsText(behind)}}});
+    } else if (item.key.starts_with(platform::ZONE_EVACUATION_PREFIX)) {
+        const std::string zone = item.key.substr(platform::ZONE_EVACUATION_PREFIX.size());
+        deleted ? static_cast<void>(zonesOut_.erase(zone)) : static_cast<void>(zonesOut_.insert(zone));
+        context_.log.report({"zones",
+                             deleted ? "zone_back" : "zone_out",
+                             ResultCode::ZoneOutOfService,
+                             "",
+                             {{"availability_zone", zone}, {"revision", std::to_string(item.revision)}}});
+    }
+}
+
+void StoreSync::applyZones(int64_t revision)
+{
+    context_.view.applyZonesOut(zonesOut_, revision);
+}
+
+void StoreSync::publishKeys(int64_t storeRevision, Instant confirmedAt, bool changed)
+{
+    context_.currency.onApplied({context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()});
+    context_.currency.onConfirmed(storeRevision, confirmedAt);
+    if (changed) {
+        publishChange();
+        context_.onOwnKeysRead();
+    }
+}
+
+void StoreSync::wakeSync()
+{
+    syncWake_.cancel();
+}
+
+std::vector<configsync::KeySource> StoreSync::keySources(Instant now) const
+{
+    std::vector<configsync::KeySource> sources;
+    for (const peers::Peer &peer : context_.peers.peersWithNewerConfig(context_.peers.self().revisions, now)) {
+        sources.push_back({peer.name, peer.zone == context_.settings.zone, peer.keyReport().revisions});
+    }
+    return sources;
+}
+
+void StoreSync::reportStaleness(Instant now)
+{
+    const bool stale = context_.view.hasConfig() && context_.currency.isStale(now);
+    if (stale == wasStale_) {
+        return;
+    }
+    wasStale_ = stale;
+    const std::optional<Duration> age = context_.currency.evidenceAge(now);
+    context_.log.report({"configuration",
+                         stale ? "stale" : "current",
+                         stale ? ResultCode::ConfigurationStale : ResultCode::Ok,
+                         "",
+                         {{"behind_ms", millisecondsText(context_.currency.behindFor(now))},
+                          {"evidence_age_ms", age ? millisecondsText(*age) : std::string("none")},
+                          {"revision", std::to_string(context_.view.configRevision())}}});
+}
+
+asio::awaitable<void> StoreSync::syncOperatorKeys()
+{
+    while (true) {
+        syncWake_.expires_after(SYNC_INTERVAL);
+        co_await syncWake_.async_wait(asio::as_tuple(asio::use_awaitable));
+        const Instant now = framework::monotonicNow();
+        reportStaleness(now);
+        co_await runSyncStep(context_.currency.next(keySources(now), now));
+    }
+}
+
+asio::awaitable<void> StoreSync::runSyncStep(configsync::SyncStep step)
+{
+    if (step.action == configsync::SyncAction::FetchFromPeer) {
+        const bool fetched = co_await fetchKeys(step.peer, step.timeout);
+        context_.currency.onFetchEnded(step.peer, fetched, framework::monotonicNow());
+    } else if (step.action == configsync::SyncAction::AskStore) {
+        // The watch reads the first keys, and tries again by itself while the store does not answer.
+        const bool onDuty = framework::monotonicNow() - watchNeededAt_ <= WATCH_DUTY_RETENTION;
+        bool asked = false;
+        if (!context_.view.hasConfig() || (onDuty && !context_.peers.self().watchesStore)) {
+            asked = false;
+        } else if (context_.currency.confirmedRevision() == 0) {
+            asked = co_await readOperatorKeys();
+        } else {
+            asked = co_await readChanges("check", NO_WAIT);
+        }
+        context_.currency.onStoreAsked(asked, framework::monotonicNow());
+    }
+}
+
+asio::awaitable<bool> StoreSync::fetchKeys(std::string peer, milliseconds timeout)
+{
+    std::string ip;
+    for (const peers::Peer &known : context_.peers.peersWithNewerConfig(context_.peers.self().revisions, framework::monotonicNow())) {
+        ip = known.name == peer ? known.ip : ip;
+    }
+    if (ip.empty()) {
+        co_return false;
+    }
+    const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer, ip, peers::KEYS_PAGE, timeout);
+    if (!snapshot) {
+        co_return false;
+    }
+    const Duration behind = context_.currency.behindFor(framework::monotonicNow());
+    const bool newConfig = context_.view.applyConfig(snapshot->config);
+    if (newConfig) {
+        context_.log.report({"configuration",
+                             "applied_from_peer",
+                             ResultCode::Ok,
+                             "",
+                             {{"peer", peer}, {"revision", std::to_string(snapshot->config.revision)}, {"behind_ms", millisecondsText(behind)}}});
+    }
+    const bool newZones = snapshot->zonesRevision > context_.view.zonesRevision();
+    if (newZones) {
+        zonesOut_ = snapshot->zonesOut;
+        context_.view.applyZonesOut(snapshot->zonesOut, snapshot->zonesRevision);
+    }
+    if (newConfig || newZones) {
+        context_.currency.onApplied({context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()});
+        publishChange();
+    }
+    co_return newConfig || newZones;
+}
+
+} // namespace daisymount::gateway
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -42,6 +42,7 @@
 void PeerLink::start()
 {
     context_.onGroupList = [this](dispatch::GroupList list) { applyGroupList(std::move(list), true); };
+    context_.onOwnKeysRead = [this] { broadcastHeartbeat(); };
     context_.onCrashRecorded = [this] { broadcastCrashUpdate(context_.peers.targets(framework::monotonicNow())); };
     transport::spawnLoop(context_.executor, "measure_pauses", [this] { return measurePauses(); });
     transport::spawnLoop(context_.executor, "send_heartbeats", [this] { return sendLoop(); });
@@ -49,9 +50,10 @@
     const auto endpoint = transport::parseEndpoint(context_.settings.ip + ":" + std::to_string(context_.settings.firstPeerPort));
     transport::listenAndServe(context_.executor, *endpoint, [this](const transport::ServerRequest &request) {
         peers::FleetSnapshot snapshot;
-        if (request.target == peers::FLEET_PAGE) {
-            snapshot = {context_.view.configItem(), context_.view.zonesOut(), context_.view.zonesRevision(), context_.view.upstreamItems()};
-        } else if (request.target == peers::UPSTREAMS_PAGE) {
+        if (request.target == peers::KEYS_PAGE) {
+            return transport::ServerResponse{200, "application/json", keysPage()};
+        }
+        if (request.target == peers::UPSTREAMS_PAGE) {
             snapshot.upstreams = context_.view.upstreamItems();
         } else {
             return transport::ServerResponse{404, "text/plain", "unknown page\n"};
@@ -60,11 +62,37 @@
     });
 }
 
+const std::string &PeerLink::keysPage()
+{
+    const configsync::KeyRevisions revisions{context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()};
+    if (keysPage_.empty() || revisions != keysPageRevisions_) {
+        keysPageRevisions_ = revisions;
+        keysPage_ = peers::encodeSnapshot({context_.view.configItem(), context_.view.zonesOut(), context_.view.zonesRevision(), {}});
+    }
+    return keysPage_;
+}
+
+void PeerLink::learnKeys(const peers::Heartbeat &heartbeat, Instant sentAt, Instant now)
+{
+    bool newer = context_.currency.onPeerReport(heartbeat.sender.keyReport(), sentAt, now);
+    for (const peers::RelayedPeer &relayed : heartbeat.others) {
+        if (relayed.peer.name != context_.settings.name) {
+            newer = context_.currency.onPeerReport(relayed.peer.keyReport(), sentAt - relayed.age, now) || newer;
+        }
+    }
+    if (newer) {
+        context_.onNewerKeysKnown();
+    }
+}
+
 void PeerLink::broadcastHeartbeat()
 {
     const Instant now = framework::monotonicNow();
     const auto sinceRead = std::chrono::duration_cast<milliseconds>(now - context_.upstreamsReadAt);
     context_.peers.self().storeReadAge = std::min(sinceRead, milliseconds{peers::Peer::NEVER_READ});
+    const configsync::KeyReport keys = context_.currency.report(now);
+    context_.peers.self().confirmedRevision = keys.confirmedRevision;
+    context_.peers.self().confirmedAge = keys.confirmedAge;
     context_.peers.self().inFlight = context_.dispatcher.inFlightByGroup();
     context_.peers.self().revisions.groupsTerm = context_.groups.list().term;
     context_.peers.self().revisions.groups = context_.groups.list().revision;
@@ -227,7 +255,10 @@
                 return {};
             }
             BOOST_LEAF_AUTO(heartbeat, peers::decodeHeartbeat(message));
-            context_.peers.onHeartbeat(heartbeat, now);
+            // The heartbeat may have waited while this gateway read nothing.
+            const Instant sentAt = context_.loopPauses.earliestArrival(now);
+            context_.peers.onHeartbeat(heartbeat, sentAt);
+            learnKeys(heartbeat, sentAt, now);
             applyLeavingUpstreams(heartbeat, now);
             context_.loadControl.onPeerDemand(heartbeat.sender.name, heartbeat.demand, now);
             answerOlderGroupList(heartbeat.sender);
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -18,17 +18,12 @@
 
 /// A call that takes longer is retried: the store responds within milliseconds, or within a few hundred milliseconds when slow.
 constexpr milliseconds CALL_TIMEOUT{1'000};
-/// Subtracted from the contact bound to get the watch timeout, so that a dead connection is detected within the bound.
-constexpr milliseconds WATCH_MARGIN{1'000};
-constexpr milliseconds MIN_WATCH_TIMEOUT{500};
 /// Number of reads of the upstream list within the time that a draining upstream may still receive requests.
 constexpr int READS_PER_DRAIN = 4;
 constexpr milliseconds RETRY_DELAY{200};
 constexpr int MAX_DOUBLINGS = 4;
 /// The longest retry delay is the contact bound divided by this number, so that a recovered store is detected in time.
 constexpr int RETRIES_PER_CONTACT = 3;
-/// How often a gateway that relies on the watches of others checks whether it must watch the store itself.
-constexpr milliseconds WATCH_DUTY_POLL_INTERVAL{200};
 /// The store is considered unreachable if it has not responded for the watch timeout plus this margin.
 constexpr milliseconds STORE_LOST_MARGIN{1'100};
 constexpr milliseconds UPSTREAMS_WANTED_POLL_INTERVAL{50};
@@ -47,8 +42,11 @@
 } // namespace
 
 StoreSync::StoreSync(GatewayContext &context, std::function<void()> onChange)
-    : context_(context), onChange_(std::move(onChange)), watchCaller_(context.executor)
-{ }
+    : context_(context), onChange_(std::move(onChange)), watchCaller_(context.executor), syncWake_(context.executor)
+{
+    const auto pausedWithin = [&context](Instant from, Instant to) { return context.loopPauses.within(from, to); };
+    watchCaller_.setPausedWithin(pausedWithin);
+}
 
 void StoreSync::start()
 {
@@ -56,7 +54,8 @@
     transport::spawnLoop(context_.executor, "poll_upstreams", [this] { return pollUpstreams(); });
     transport::spawnLoop(context_.executor, "maintain_registration", [this] { return maintainRegistration(); });
     transport::spawnLoop(context_.executor, "discover_members", [this] { return discoverMembers(); });
-    transport::spawnLoop(context_.executor, "sync_from_peers", [this] { return syncFromPeers(); });
+    transport::spawnLoop(context_.executor, "sync_operator_keys", [this] { return syncOperatorKeys(); });
+    transport::spawnLoop(context_.executor, "sync_upstreams", [this] { return syncUpstreamsFromPeers(); });
 }
 
 bool StoreSync::storeReachable() const
@@ -64,11 +63,6 @@
     return reachable_;
 }
 
-milliseconds StoreSync::watchTimeout() const
-{
-    return std::max(MIN_WATCH_TIMEOUT, context_.settings.bounds.contact - WATCH_MARGIN);
-}
-
 milliseconds StoreSync::retryDelay(int failures) const
 {
     const milliseconds maxDelay = context_.settings.bounds.contact / RETRIES_PER_CONTACT;
@@ -130,7 +124,10 @@
 void StoreSync::publishChange()
 {
     auto &revisions = context_.peers.self().revisions;
-    revisions = {context_.view.configRevision(), context_.view.zonesRevision(), context_.view.upstreamsRevision()};
+    revisions.config = context_.view.configRevision();
+    revisions.zones = context_.view.zonesRevision();
+    revisions.zonesDigest = context_.view.zonesDigest();
+    revisions.upstreams = context_.view.upstreamsRevision();
     onChange_();
 }
 
@@ -160,111 +157,6 @@
     }
 }
 
-asio::awaitable<bool> StoreSync::readOperatorKeys()
-{
-    platform::StorePage page;
-    if (!co_await readRange(std::string(platform::OPERATOR_PREFIX), ReadConsistency::Linearizable, page)) {
-        co_return false;
-    }
-    zonesOut_.clear();
-    for (const platform::StoreItem &item : page.items) {
-        applyOperatorItem(item, false);
-    }
-    watchRevision_ = page.revision;
-    context_.peers.self().watchesStore = true;
-    applyZones(page.revision);
-    publishChange();
-    co_return true;
-}
-
-asio::awaitable<void> StoreSync::watchOperatorKeys()
-{
-    int failures = 0;
-    while (true) {
-        co_await waitForWatchDuty();
-        if (watchRevision_ == 0) {
-            failures = co_await readOperatorKeys() ? 0 : failures + 1;
-            if (failures > 0) {
-                co_await transport::sleepFor(retryDelay(failures - 1));
-            }
-            continue;
-        }
-        const auto reply
-            = co_await call("watch", platform::watchCall(platform::OPERATOR_PREFIX, watchRevision_, watchTimeout()), watchTimeout() + CALL_TIMEOUT / 2);
-        const framework::Ret watched = framework::evaluate([&]() -> framework::Result<void> {
-            BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
-            bool zonesChanged = false;
-            for (const platform::StoreChange &change : changes.changes) {
-                applyOperatorItem(change.item, change.deleted);
-                zonesChanged = zonesChanged || change.item.key.starts_with(platform::ZONE_EVACUATION_PREFIX);
-            }
-            watchRevision_ = std::max(watchRevision_, changes.revision);
-            if (zonesChanged) {
-                // The revision advances only when zones change, because peers fetch whatever is newer than their own copy.
-                applyZones(watchRevision_);
-            }
-            if (!changes.changes.empty()) {
-                publishChange();
-            }
-            return {};
-        });
-        context_.peers.self().watchesStore = static_cast<bool>(watched);
-        failures = watched ? 0 : failures + 1;
-        if (watched.code == ResultCode::CasConflict) {
-            context_.log.report({"store", "history_gone", watched.code, "", {{"revision", std::to_string(watchRevision_)}}});
-            watchRevision_ = 0;
-        } else if (!watched) {
-            co_await transport::sleepFor(retryDelay(failures - 1));
-        }
-    }
-}
-
-asio::awaitable<void> StoreSync::waitForWatchDuty()
-{
-    const Instant begin = framework::monotonicNow();
-    bool leftToOthers = false;
-    while (context_.view.hasConfig() && !context_.peers.mustWatchStore(framework::monotonicNow())) {
-        if (!leftToOthers) {
-            leftToOthers = true;
-            context_.peers.self().watchesStore = false;
-            context_.log.report({"store", "watch_left_to_others", ResultCode::Ok, "", {{"revision", std::to_string(watchRevision_)}}});
-        }
-        co_await transport::sleepFor(WATCH_DUTY_POLL_INTERVAL);
-    }
-    if (leftToOthers) {
-        // Changes during this time came from peers, so the watch restarts with a full read.
-        watchRevision_ = 0;
-        const auto ms = std::chrono::duration_cast<milliseconds>(framework::monotonicNow() - begin);
-        context_.log.report({"store", "watch_resumed", ResultCode::Ok, "", {{"relied_ms", std::to_string(ms.count())}}});
-    }
-}
-
-void StoreSync::applyOperatorItem(const platform::StoreItem &item, bool deleted)
-{
-    if (item.key == platform::CONFIG_KEY && !deleted) {
-        const bool applied = context_.view.applyConfig({item.key, item.value, item.revision});
-        context_.log.report({"configuration",
-                             applied ? "applied" : "kept",
-                             ResultCode::Ok,
-                             "",
-                             {{"revision", std::to_string(item.revision)}, {"version", std::to_string(context_.view.config()->version)}}});
-    } else if (item.key.starts_with(platform::ZONE_EVACUATION_PREFIX)) {
-        const std::string zone = item.key.substr(platform::ZONE_EVACUATION_PREFIX.size());
-        deleted ? static_cast<void>(zonesOut_.erase(zone)) : static_cast<void>(zonesOut_.insert(zone));
-        context_.log.report({"zones",
-                             deleted ? "zone_back" : "zone_out",
-                             ResultCode::ZoneOutOfService,
-                             "",
-                             {{"availability_zone", zone}, {"revision", std::to_string(item.revision)}}});
-    }
-}
-
-void StoreSync::applyZones(int64_t revision)
-{
-    context_.view.applyZonesOut(zonesOut_, revision);
-    context_.peers.self().revisions.zones = context_.view.zonesRevision();
-}
-
 asio::awaitable<bool> StoreSync::readUpstreams()
 {
     platform::StorePage page;
@@ -290,7 +182,7 @@
         const bool expedite = context_.fastUpstreamPolling;
         const std::optional<peers::Peer> reader = expedite ? std::nullopt : context_.peers.zoneReader(framework::monotonicNow());
         if (reader) {
-            read = co_await fetchFromPeer(*reader, peers::UPSTREAMS_PAGE);
+            read = co_await fetchUpstreams(*reader);
         }
         if (!read) {
             read = co_await readUpstreams();
@@ -386,53 +278,50 @@
     }
 }
 
-asio::awaitable<void> StoreSync::syncFromPeers()
+asio::awaitable<void> StoreSync::syncUpstreamsFromPeers()
 {
     while (true) {
         co_await transport::sleepFor(PEER_POLL_INTERVAL);
         const Instant now = framework::monotonicNow();
-        const peers::KnownRevisions &known = context_.peers.self().revisions;
-        // A watch connection may be dead without an error; a peer with a newer configuration reveals this.
-        std::optional<peers::Peer> peer = context_.peers.peerWithNewerConfig(known, now);
-        std::string_view page = peers::FLEET_PAGE;
-        if (!peer && now - upstreamsUpdatedAt_ > UPSTREAMS_STALE_AFTER) {
-            peer = context_.peers.mostUpToDatePeer(known, now);
-            page = peers::UPSTREAMS_PAGE;
+        if (now - upstreamsUpdatedAt_ <= UPSTREAMS_STALE_AFTER) {
+            continue;
         }
+        const std::optional<peers::Peer> peer = context_.peers.mostUpToDatePeer(context_.peers.self().revisions, now);
         if (!peer) {
             continue;
         }
-        co_await fetchFromPeer(*peer, page);
+        co_await fetchUpstreams(*peer);
     }
 }
 
-asio::awaitable<bool> StoreSync::fetchFromPeer(peers::Peer peer, std::string_view page)
+asio::awaitable<bool> StoreSync::fetchUpstreams(peers::Peer peer)
 {
-    const std::string address = peer.ip + ":" + std::to_string(context_.settings.firstPeerPort);
+    const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer.name, peer.ip, peers::UPSTREAMS_PAGE, PEER_TIMEOUT);
+    if (snapshot) {
+        context_.view.applyUpstreams(snapshot->upstreams, framework::monotonicNow());
+        publishChange();
+    }
+    co_return snapshot.has_value();
+}
+
+asio::awaitable<std::optional<peers::FleetSnapshot>> StoreSync::fetchPage(std::string peer, std::string ip, std::string_view page, milliseconds timeout)
+{
+    const std::string address = ip + ":" + std::to_string(context_.settings.firstPeerPort);
     const Instant begin = framework::monotonicNow();
-    const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", PEER_TIMEOUT, {}, MAX_SNAPSHOT_BYTES);
+    const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", timeout, {}, MAX_SNAPSHOT_BYTES);
     if (reply.status != 200) {
-        reportFailedCall(peer.name, page, reply, begin);
-        co_return false;
+        reportFailedCall(peer, page, reply, begin);
+        co_return std::nullopt;
     }
-    const framework::Ret applied = framework::evaluate([&]() -> framework::Result<void> {
-        BOOST_LEAF_AUTO(snapshot, peers::decodeSnapshot(reply.body));
-        if (context_.view.applyConfig(snapshot.config)) {
-            context_.log.report(
-                {"configuration", "applied_from_peer", ResultCode::Ok, "", {{"peer", peer.name}, {"revision", std::to_string(snapshot.config.revision)}}});
-        }
-        if (snapshot.zonesRevision > context_.view.zonesRevision()) {
-            zonesOut_ = snapshot.zonesOut;
-            context_.view.applyZonesOut(snapshot.zonesOut, snapshot.zonesRevision);
-        }
-        context_.view.applyUpstreams(snapshot.upstreams, framework::monotonicNow());
-        publishChange();
+    std::optional<peers::FleetSnapshot> snapshot;
+    const framework::Ret decoded = framework::evaluate([&]() -> framework::Result<void> {
+        BOOST_LEAF_ASSIGN(snapshot, peers::decodeSnapshot(reply.body));
         return {};
     });
-    if (!applied) {
-        context_.log.report({"members", "bad_snapshot", applied.code, "", {{"peer", peer.name}, {"detail", applied.detail}}});
+    if (!decoded) {
+        context_.log.report({"members", "bad_snapshot", decoded.code, "", {{"peer", peer}, {"detail", decoded.detail}}});
     }
-    co_return static_cast<bool>(applied);
+    co_return snapshot;
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -23,6 +23,10 @@
     void broadcastHeartbeat();
 
 private:
+    /// Encoded operator keys for other gateways.
+    const std::string &keysPage();
+    /// Passes on what a heartbeat tells of the operators' keys.
+    void learnKeys(const peers::Heartbeat &heartbeat, Instant sentAt, Instant now);
     void broadcastCrashUpdate(std::span<const std::string> targets);
     void send(std::string_view message, std::span<const std::string> targets);
     void mergeCrashUpdate(const crashattribution::CrashUpdate &update, std::string_view from, Instant now);
@@ -41,6 +45,8 @@
 
     GatewayContext &context_;
     transport::asio::ip::udp::socket socket_;
+    std::string keysPage_; ///< Encoded once for each revision; empty before the first request.
+    configsync::KeyRevisions keysPageRevisions_; ///< Of keysPage_.
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -2,12 +2,18 @@
 
 #pragma once
 
+#include "configsync/configcurrency.h"
 #include "gateway/gatewaycontext.h"
+#include "peers/peercodec.h"
 #include "platform/storecodec.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace daisymount::gateway
 {
@@ -23,6 +29,9 @@
     /// Ends this gateway's registration, so that peers need not wait for its lease to expire.
     transport::asio::awaitable<void> unregister();
 
+    /// Looks for newer operator keys at once, because a peer has told of some.
+    void wakeSync();
+
     /// True if the store has responded to this machine recently.
     bool storeReachable() const;
 
@@ -35,15 +44,30 @@
     /// How long the store holds one watch request open while nothing changes.
     milliseconds watchTimeout() const;
     transport::asio::awaitable<void> watchOperatorKeys();
+    /// Reads all operator keys. Returns false if the store did not answer.
     transport::asio::awaitable<bool> readOperatorKeys();
+    /// Reads the changes of the operator keys since the revision up to which they are known. The store waits for one up to @p wait.
+    transport::asio::awaitable<bool> readChanges(std::string_view name, milliseconds wait);
+    /// Gets newer operator keys from peers, or from the store where peers do not provide them in time.
+    transport::asio::awaitable<void> syncOperatorKeys();
+    transport::asio::awaitable<void> runSyncStep(configsync::SyncStep step);
+    /// Returns true if the keys of @p peer were newer and have been applied.
+    transport::asio::awaitable<bool> fetchKeys(std::string peer, milliseconds timeout);
+    /// Live peers with newer operator keys.
+    std::vector<configsync::KeySource> keySources(Instant now) const;
+    /// Logs when the operator keys become stale, or are current again.
+    void reportStaleness(Instant now);
+    /// The store has told the operator keys up to @p storeRevision, as of @p confirmedAt.
+    void publishKeys(int64_t storeRevision, Instant confirmedAt, bool changed);
     transport::asio::awaitable<void> pollUpstreams();
     transport::asio::awaitable<bool> readUpstreams();
     transport::asio::awaitable<void> maintainRegistration();
     transport::asio::awaitable<bool> renewRegistration();
     transport::asio::awaitable<void> discoverMembers();
-    transport::asio::awaitable<void> syncFromPeers();
-    /// Fetches a snapshot from @p peer and applies it. Returns false if the request fails or the snapshot is invalid.
-    transport::asio::awaitable<bool> fetchFromPeer(peers::Peer peer, std::string_view page);
+    transport::asio::awaitable<void> syncUpstreamsFromPeers();
+    transport::asio::awaitable<bool> fetchUpstreams(peers::Peer peer);
+    /// Fetches @p page of a peer. Returns an empty value if the request fails or the reply is invalid.
+    transport::asio::awaitable<std::optional<peers::FleetSnapshot>> fetchPage(std::string peer, std::string ip, std::string_view page, milliseconds timeout);
 
     transport::asio::awaitable<transport::HttpReply> call(std::string_view name, platform::HttpCall call, milliseconds timeout);
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
@@ -58,7 +82,9 @@
     std::function<void()> onChange_;
     transport::HttpCaller watchCaller_; ///< Separate connections, because long polls would block other calls.
     std::set<std::string> zonesOut_;
-    int64_t watchRevision_ = 0; ///< The watch continues from here; 0 if the range must be read first.
+    transport::asio::steady_timer syncWake_; ///< Ends the pause of syncOperatorKeys().
+    Instant watchNeededAt_{0}; ///< When this gateway last had to watch the store.
+    bool wasStale_ = false; ///< Last state that reportStaleness() has logged.
     int64_t leaseId_ = 0; ///< 0 if not registered.
     Instant lastResponseAt_{0};
     Instant upstreamsUpdatedAt_{0}; ///< Last update from the store, or from the gateway that reads it for this zone.
--- a/src/gateway/tests/processes_tests.cpp
+++ b/src/gateway/tests/processes_tests.cpp
@@ -230,3 +230,56 @@
     LONGS_EQUAL(8, refused);
     LONGS_EQUAL(arrived, fixture->arrivedAt.size());
 }
+
+TEST_GROUP(ShortOfProcessorTime)
+{
+    static constexpr size_t FLEET = 16; ///< Enough that most gateways leave the watch of the store to others.
+    static constexpr size_t THROTTLED = 8;
+    static constexpr int ROUTES = 1'400;
+    static constexpr milliseconds APPLY_BOUND{3'000};
+    ProcessFixture *fixture = nullptr;
+
+    void setup() override
+    {
+        static auto &fixtures = *new std::vector<ProcessFixture *>;
+        fixtures.push_back(new ProcessFixture(FLEET));
+        fixture = fixtures.back();
+        fixture->startAll();
+        CHECK_TRUE(fixture->allServe(seconds{30}));
+    }
+
+    void teardown() override
+    {
+        fixture->end();
+    }
+
+    /// A configuration with many routes, the last of which is served since this version.
+    static std::string configOf(int version)
+    {
+        const std::string common
+            = R"("host":"a.example","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2,"public":true})";
+        std::string routes;
+        for (int i = 0; i < ROUTES; ++i) {
+            routes += R"({"name":"r)" + std::to_string(i) + R"(","prefix":"/r)" + std::to_string(i) + R"(/",)" + common + ",";
+        }
+        routes += R"({"name":"added","prefix":"/added)" + std::to_string(version) + R"(/",)" + common;
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
+            + R"(],"services":[{"name":"plain","health_path":"/h","max_connections":100,"cold_start_s":0,"cold_per_s":0}],"limits":{},"tenants":[]})";
+    }
+};
+
+/// Guards against a gateway that keeps an old configuration, because it is too slow for what the others read in time.
+TEST(ShortOfProcessorTime, aLargeConfigurationIsInForceInTime)
+{
+    fixture->throttle(THROTTLED);
+    for (int version = 2; version <= 5; ++version) {
+        fixture->store().put("op/config", configOf(version));
+        const framework::Instant limit = framework::monotonicNow() + APPLY_BOUND;
+        const std::string path = "/added" + std::to_string(version) + "/x";
+        int status = 0;
+        while (status != 200 && framework::monotonicNow() < limit) {
+            status = fixture->statusAt(THROTTLED, path);
+        }
+        LONGS_EQUAL(200, status);
+    }
+}
--- a/src/gateway/tests/storesync_tests.cpp
+++ b/src/gateway/tests/storesync_tests.cpp
@@ -255,3 +255,50 @@
     static auto &kept = *new std::vector<std::unique_ptr<ScriptedUpstream>>;
     kept.push_back(std::move(peer));
 }
+
+/// Guards against a gateway that relies on the watches of others and fetches their newer configuration in vain for ever.
+TEST(StoreSync, readsTheStoreWhenPeersWithANewerConfigurationDoNotAnswer)
+{
+    GatewayContext &context = fixture.world.context;
+    context.settings.bounds.configApply = std::chrono::seconds{3};
+    static auto &silent
+        = *new ScriptedUpstream(fixture.world.reactor.get_executor(), [](transport::ConnectionPtr connection, ReceivedRequest) -> asio::awaitable<void> {
+              co_await connection->waitForBytes(0, framework::monotonicNow() + std::chrono::seconds{10});
+          });
+    const std::string address = silent.address();
+    context.settings.firstPeerPort = static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    // Enough watchers of the same zone that this gateway leaves the watch to them.
+    context.peers.self().name = "gateway";
+    context.peers.self().zone = context.settings.zone;
+    int64_t revision = 10;
+    const auto hearPeers = [&] {
+        for (int i = 0; i < 20; ++i) {
+            peers::Peer peer;
+            peer.name = "a" + std::to_string(i);
+            peer.zone = context.settings.zone;
+            peer.ip = "127.0.0.1";
+            peer.serving = peer.watchesStore = true;
+            peer.revisions.config = revision;
+            context.peers.onHeartbeat({peer, {}}, framework::monotonicNow());
+        }
+    };
+    hearPeers();
+    fixture.sync->start();
+    fixture.world.runUntil(
+        [&] {
+            hearPeers();
+            return !context.peers.self().watchesStore && fixture.version() == 1;
+        },
+        std::chrono::seconds{8});
+    LONGS_EQUAL(1, fixture.version());
+    CHECK_FALSE(context.peers.self().watchesStore);
+    fixture.store.configVersion = 9;
+    fixture.store.revision = revision = 60;
+    fixture.world.runUntil(
+        [&] {
+            hearPeers();
+            return fixture.version() == 9;
+        },
+        std::chrono::seconds{3});
+    LONGS_EQUAL(9, fixture.version());
+}
--- a/src/peers/internal/heartbeatcodec.cpp
+++ b/src/peers/internal/heartbeatcodec.cpp
@@ -16,13 +16,16 @@
 using framework::Result;
 using framework::ResultCode;
 
-constexpr std::string_view MAGIC = "DH3";
+constexpr std::string_view MAGIC = "DH4";
 constexpr uint64_t MAX_ROWS = 256;
 constexpr int64_t MAX_AGE_MS = 24LL * 60 * 60 * 1000;
 /// Rates are sent as whole multiples of 1 / RATE_UNITS requests per second.
 constexpr double RATE_UNITS = 10.0;
 constexpr double MAX_RATE = 1e6;
 constexpr int64_t MAX_PRIORITY = 1'000;
+/// Processor shares are sent as whole multiples of 1 / PROCESSOR_SHARE_UNITS of a core.
+constexpr double PROCESSOR_SHARE_UNITS = 100.0;
+constexpr double MAX_PROCESSOR_SHARE = 1'024.0;
 constexpr uint64_t SERVING = 1;
 constexpr uint64_t CONTROLS_MAPS = 2;
 constexpr uint64_t WATCHES_STORE = 4;
@@ -56,6 +59,10 @@
     writer.signedNumber(peer.revisions.upstreams);
     writer.signedNumber(peer.revisions.groupsTerm);
     writer.signedNumber(peer.revisions.groups);
+    writer.number(peer.revisions.zonesDigest);
+    writer.signedNumber(peer.confirmedRevision);
+    writer.signedNumber(peer.confirmedAge.count());
+    writer.number(static_cast<uint64_t>(std::lround(std::clamp(peer.processorShare, 0.0, MAX_PROCESSOR_SHARE) * PROCESSOR_SHARE_UNITS)));
 }
 
 Result<Peer> readPeer(CompactReader &reader)
@@ -90,6 +97,13 @@
     BOOST_LEAF_ASSIGN(peer.revisions.upstreams, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.groupsTerm, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.groups, reader.signedNumber());
+    BOOST_LEAF_AUTO(zonesDigest, reader.number(std::numeric_limits<uint32_t>::max()));
+    peer.revisions.zonesDigest = static_cast<uint32_t>(zonesDigest);
+    BOOST_LEAF_ASSIGN(peer.confirmedRevision, reader.signedNumber());
+    BOOST_LEAF_AUTO(confirmedAge, reader.signedNumber());
+    peer.confirmedAge = boundedAge(confirmedAge);
+    BOOST_LEAF_AUTO(processorShare, reader.number(static_cast<uint64_t>(MAX_PROCESSOR_SHARE * PROCESSOR_SHARE_UNITS)));
+    peer.processorShare = static_cast<double>(processorShare) / PROCESSOR_SHARE_UNITS;
     return peer;
 }
 
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -5,7 +5,6 @@
 #include "dispatch/groupdirectory.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace daisymount::peers
 {
@@ -23,6 +22,17 @@
     return self_;
 }
 
+Duration PeerTable::silence(const Member &member, Instant now) const
+{
+    const Duration credit = std::min(options_.maxPauseCredit, options_.pausedWithin(member.heardAt, now));
+    return now - member.heardAt - credit;
+}
+
+bool PeerTable::isAlive(const Member &member, Instant now) const
+{
+    return now - member.heardAt <= options_.aliveTimeout || silence(member, now) <= options_.aliveTimeout;
+}
+
 void PeerTable::addAddress(std::string_view ip, Instant now)
 {
     const bool known = ip == self_.ip || std::ranges::any_of(members_, [&](const auto &entry) { return entry.second.peer.ip == ip; });
@@ -102,7 +112,7 @@
 
 void PeerTable::expire(Instant now)
 {
-    std::erase_if(members_, [&](const auto &entry) { return now - entry.second.heardAt > options_.memberExpiry; });
+    std::erase_if(members_, [&](const auto &entry) { return silence(entry.second, now) > options_.memberExpiry; });
     std::erase_if(addresses_, [&](const auto &entry) { return now - entry.second > options_.memberExpiry; });
 }
 
@@ -110,7 +120,7 @@
 {
     std::vector<Peer> found;
     for (const auto &[name, member] : members_) {
-        if (member.peer.serving && now - member.heardAt <= options_.aliveTimeout) {
+        if (member.peer.serving && isAlive(member, now)) {
             found.push_back(member.peer);
         }
     }
@@ -121,11 +131,11 @@
 {
     std::vector<Peer> found;
     for (const auto &[name, member] : members_) {
-        if (!member.peer.serving || now - member.heardAt > options_.allocationTimeout) {
+        if (!member.peer.serving || silence(member, now) > options_.allocationTimeout) {
             continue;
         }
         found.push_back(member.peer);
-        if (now - member.heardAt > options_.aliveTimeout) {
+        if (!isAlive(member, now)) {
             found.back().inFlight.clear();
         }
     }
@@ -136,7 +146,7 @@
 {
     int sum = 0;
     for (const auto &[name, member] : members_) {
-        if (now - member.heardAt > options_.aliveTimeout) {
+        if (!isAlive(member, now)) {
             continue;
         }
         for (const auto &[otherKey, count] : member.peer.inFlight) {
@@ -150,7 +160,7 @@
 {
     const Member *reader = nullptr;
     for (const auto &[name, member] : members_) {
-        const bool alive = member.peer.serving && now - member.heardAt <= options_.aliveTimeout;
+        const bool alive = member.peer.serving && isAlive(member, now);
         if (alive && member.peer.zone == self_.zone && name < self_.name && (reader == nullptr || name < reader->peer.name)) {
             reader = &member;
         }
@@ -162,7 +172,7 @@
     const Duration stagger = std::min(options_.maxStagger, options_.readerStagger * static_cast<int64_t>(positionInZone(now) - 1));
     const auto age = [&](const Member &member) { return now - member.heardAt + member.peer.storeReadAge; };
     for (const auto &[name, member] : members_) {
-        const bool alive = member.peer.serving && now - member.heardAt <= options_.aliveTimeout;
+        const bool alive = member.peer.serving && isAlive(member, now);
         if (alive && member.peer.zone == self_.zone && age(member) < age(*reader)) {
             reader = &member;
         }
@@ -174,7 +184,7 @@
 {
     return static_cast<size_t>(std::ranges::count_if(members_, [&](const auto &entry) {
         const Member &member = entry.second;
-        return member.peer.serving && now - member.heardAt <= options_.aliveTimeout && member.peer.zone == self_.zone && entry.first < self_.name;
+        return member.peer.serving && isAlive(member, now) && member.peer.zone == self_.zone && entry.first < self_.name;
     }));
 }
 
@@ -183,7 +193,7 @@
     size_t serving = 0;
     size_t watching = 0;
     for (const auto &[name, member] : members_) {
-        const bool alive = member.peer.serving && now - member.heardAt <= options_.aliveTimeout;
+        const bool alive = member.peer.serving && isAlive(member, now);
         serving += alive ? 1 : 0;
         watching += alive && member.peer.watchesStore ? 1 : 0;
     }
@@ -193,9 +203,7 @@
 bool PeerTable::groupDown(std::string_view key, Instant now) const
 {
     const auto reportsDown = [&](const Peer &peer) { return peer.controlsMaps && std::ranges::find(peer.groupsDown, key) != peer.groupsDown.end(); };
-    return reportsDown(self_) || std::ranges::any_of(members_, [&](const auto &entry) {
-               return now - entry.second.heardAt <= options_.aliveTimeout && reportsDown(entry.second.peer);
-           });
+    return reportsDown(self_) || std::ranges::any_of(members_, [&](const auto &entry) { return isAlive(entry.second, now) && reportsDown(entry.second.peer); });
 }
 
 void PeerTable::onRegistryRead()
@@ -205,19 +213,23 @@
 
 int PeerTable::possiblyAliveCount(Instant now) const
 {
-    const auto alive = std::ranges::count_if(members_, [&](const auto &entry) { return now - entry.second.heardAt <= options_.memberExpiry; });
+    const auto alive = std::ranges::count_if(members_, [&](const auto &entry) { return silence(entry.second, now) <= options_.memberExpiry; });
     const int known = static_cast<int>(alive) + static_cast<int>(addresses_.size()) + 1;
     const bool discoveryComplete = registryRead_ || (startedAt_ && now - *startedAt_ >= options_.discoveryTime);
     return discoveryComplete ? known : std::max(known, options_.assumedMembers);
 }
 
+bool PeerTable::isFirstOfZone(Instant now) const
+{
+    return positionInZone(now) == 0;
+}
+
 std::optional<Peer> PeerTable::mostUpToDatePeer(const KnownRevisions &known, Instant now) const
 {
     const Peer *best = nullptr;
     for (const auto &[name, member] : members_) {
         const KnownRevisions &revisions = member.peer.revisions;
-        const bool ahead = revisions.config > known.config || revisions.zones > known.zones || revisions.upstreams > known.upstreams;
-        if (!ahead || now - member.heardAt > options_.aliveTimeout) {
+        if (revisions.upstreams <= known.upstreams || !isAlive(member, now)) {
             continue;
         }
         // Traffic within a zone is free.
@@ -230,10 +242,15 @@
     return best == nullptr ? std::nullopt : std::optional<Peer>(*best);
 }
 
-std::optional<Peer> PeerTable::peerWithNewerConfig(KnownRevisions known, Instant now) const
+std::vector<Peer> PeerTable::peersWithNewerConfig(const KnownRevisions &known, Instant now) const
 {
-    known.upstreams = std::numeric_limits<int64_t>::max();
-    return mostUpToDatePeer(known, now);
+    std::vector<Peer> newer;
+    for (const auto &[name, member] : members_) {
+        if (isAlive(member, now) && configsync::isNewer(member.peer.keyReport().revisions, {known.config, known.zones, known.zonesDigest})) {
+            newer.push_back(member.peer);
+        }
+    }
+    return newer;
 }
 
 } // namespace daisymount::peers
--- a/src/peers/peercodec.h
+++ b/src/peers/peercodec.h
@@ -15,11 +15,11 @@
 namespace daisymount::peers
 {
 
-/// HTTP paths of the full fleet snapshot and of the upstreams alone.
-inline constexpr std::string_view FLEET_PAGE = "/fleet";
+/// HTTP paths of the operators' keys and of the upstreams.
+inline constexpr std::string_view KEYS_PAGE = "/keys";
 inline constexpr std::string_view UPSTREAMS_PAGE = "/upstreams";
 
-/// Complete fleet state of a gateway.
+/// Fleet state of a gateway, or a part of it.
 struct FleetSnapshot
 {
     fleet::StoredItem config;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -4,6 +4,7 @@
 
 #include "peers/peertypes.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -35,6 +36,9 @@
     int assumedMembers = 100; ///< Number of members assumed before discovery.
     size_t relayedPeers = 10; ///< Members relayed in one heartbeat.
     size_t relayedPeersLarge = 24; ///< Same from largeClusterSize members; still fits into one packet.
+    /// Part of a span in which this gateway read no messages. It does not count as silence of others, up to maxPauseCredit.
+    std::function<Duration(Instant from, Instant to)> pausedWithin = [](Instant, Instant) { return Duration{0}; };
+    Duration maxPauseCredit = framework::seconds{2};
     uint64_t seed = 1;
 };
 
@@ -77,10 +81,12 @@
     /// Number of possibly live members including this gateway. At least assumedMembers until the registry has been read or discoveryTime
     /// has passed, so that no entry exceeds its share of the rate of cold upstreams after a restart of all machines.
     int possiblyAliveCount(Instant now) const;
-    /// A live member with newer upstreams, zones or configuration than @p known; members of the same zone are preferred, then newer upstreams.
+    /// True if no serving member of the same zone has a name that precedes that of this gateway.
+    bool isFirstOfZone(Instant now) const;
+    /// A live member with newer upstreams than @p known; members of the same zone are preferred, then newer upstreams.
     std::optional<Peer> mostUpToDatePeer(const KnownRevisions &known, Instant now) const;
-    /// A live member with a newer configuration or newer zones out of service than @p known.
-    std::optional<Peer> peerWithNewerConfig(KnownRevisions known, Instant now) const;
+    /// Live members with a newer configuration or newer zones out of service than @p known.
+    std::vector<Peer> peersWithNewerConfig(const KnownRevisions &known, Instant now) const;
 
 private:
     struct Member
@@ -90,6 +96,9 @@
     };
 
     void merge(const Peer &peer, Instant heardAt);
+    /// Time for which nothing was heard of the member although this gateway listened.
+    Duration silence(const Member &member, Instant now) const;
+    bool isAlive(const Member &member, Instant now) const;
     /// Number of serving members of the same zone whose names precede that of this gateway.
     size_t positionInZone(Instant now) const;
 
--- a/src/peers/peertypes.h
+++ b/src/peers/peertypes.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "configsync/configcurrency.h"
 #include "dispatch/admissionshares.h"
 #include "fleet/fleettypes.h"
 
@@ -25,6 +26,7 @@
     int64_t upstreams = 0;
     int64_t groupsTerm = 0; ///< Of the list of rank groups, see dispatch::GroupList.
     int64_t groups = 0;
+    uint32_t zonesDigest = 0; ///< Of the zones out of service, see configsync::KeyRevisions.
 };
 
 /// Demand on a service with adaptive admission.
@@ -48,6 +50,15 @@
     std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight from this gateway to the engines, by group key.
     milliseconds storeReadAge{NEVER_READ}; ///< Age of its last read of the upstreams from the store, at the time of the heartbeat.
     KnownRevisions revisions;
+    int64_t confirmedRevision = 0; ///< See configsync::KeyReport.
+    milliseconds confirmedAge{0}; ///< At the time of the heartbeat.
+    double processorShare = 1.0; ///< Of a core.
+
+    /// What the member tells of the operators' keys.
+    configsync::KeyReport keyReport() const
+    {
+        return {{revisions.config, revisions.zones, revisions.zonesDigest}, confirmedRevision, confirmedAge};
+    }
 
     static constexpr int64_t NEVER_READ = 1'000'000;
 };
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -250,14 +250,34 @@
     CHECK_FALSE(table.mostUpToDatePeer({1, 1, 1}, START + std::chrono::seconds{5}).has_value());
 }
 
-TEST(PeerTable, peerWithNewerConfigIgnoresTheUpstreamsRevision)
+TEST(PeerTable, peersWithNewerConfigIgnoreTheUpstreamsRevision)
 {
     Peer ahead = peer("2");
     ahead.revisions = {7, 1, 9};
+    ahead.revisions.zonesDigest = 3;
     table.onHeartbeat({ahead, {}}, START);
-    STRCMP_EQUAL("2", table.peerWithNewerConfig({6, 1, 50}, START)->name.c_str());
-    CHECK_FALSE(table.peerWithNewerConfig({7, 1, 1}, START).has_value());
-    CHECK_FALSE(table.peerWithNewerConfig({6, 1, 1}, START + std::chrono::seconds{5}).has_value());
+    LONGS_EQUAL(1, table.peersWithNewerConfig({6, 1, 50}, START).size());
+    STRCMP_EQUAL("2", table.peersWithNewerConfig({7, 0, 50}, START).front().name.c_str());
+    CHECK(table.peersWithNewerConfig({7, 1, 1}, START).empty());
+    CHECK(table.peersWithNewerConfig({6, 1, 1}, START + std::chrono::seconds{5}).empty());
+}
+
+/// Guards against a gateway that takes its own pause for the silence of all others.
+TEST(PeerTable, ownPausesAreNotSilenceOfOthers)
+{
+    const Instant pauseEnd = START + milliseconds{2'500};
+    const auto pausedWithin
+        = [=](Instant from, Instant to) { return std::max<Duration>(Duration{0}, std::min(to, pauseEnd) - std::max(from, START + milliseconds{500})); };
+    PeerTable paused{peer("1"), {.pausedWithin = pausedWithin}};
+    paused.onHeartbeat({peer("2"), {}}, START);
+    LONGS_EQUAL(1, paused.serving(pauseEnd).size());
+    LONGS_EQUAL(1, paused.serving(pauseEnd + milliseconds{1'200}).size());
+    LONGS_EQUAL(0, paused.serving(pauseEnd + milliseconds{1'400}).size());
+    // A long pause does not keep members that may have left meanwhile.
+    const auto alwaysPaused = [](Instant from, Instant to) { return to - from; };
+    PeerTable suspended{peer("1"), {.pausedWithin = alwaysPaused}};
+    suspended.onHeartbeat({peer("2"), {}}, START);
+    LONGS_EQUAL(0, suspended.serving(START + milliseconds{3'900}).size());
 }
 
 TEST(PeerTable, groupsAreDownOnlyIfReportedByTheMapController)
