gateway: maps are controlled by the strongest gateway, in short slices

Control now goes to the serving gateway with the most processor time; a holder with less passes it on after 4 s. Searches run one at a time in slices that are measured to take 4 ms.

--- a/src/gateway/internal/mapcontroller.cpp
+++ b/src/gateway/internal/mapcontroller.cpp
@@ -457,7 +457,10 @@
     if (due && !group->planning && !context_.draining) {
         group->planning = true;
         group->samplesAtPlan = group->samples.totalSamples();
-        transport::spawnTask(context_.executor, "plan_map", plan(group), [group] { group->planning = false; });
+        transport::spawnTask(context_.executor, "plan_map", plan(group), [this, group] {
+            group->planning = false;
+            searching_ = false;
+        });
     }
 }
 
--- a/src/gateway/internal/maplease.cpp
+++ b/src/gateway/internal/maplease.cpp
@@ -66,13 +66,22 @@
     if (!anyGroup) {
         return false;
     }
-    // Only the serving gateway with the lowest name acquires the lease, and only if no other serving gateway holds it.
-    for (const peers::Peer &peer : context_.peers.serving(framework::monotonicNow())) {
-        if (peer.controlsMaps || peer.name < context_.peers.self().name) {
-            return false;
-        }
+    return shouldAcquireControl(self(), otherCandidates(framework::monotonicNow()));
+}
+
+ControlCandidate MapLease::self() const
+{
+    const peers::Peer &own = context_.peers.self();
+    return {own.name, own.processorShare, own.controlsMaps};
+}
+
+std::vector<ControlCandidate> MapLease::otherCandidates(Instant now) const
+{
+    std::vector<ControlCandidate> candidates;
+    for (const peers::Peer &peer : context_.peers.serving(now)) {
+        candidates.push_back({peer.name, peer.processorShare, peer.controlsMaps});
     }
-    return true;
+    return candidates;
 }
 
 asio::awaitable<void> MapLease::run()
@@ -85,8 +94,9 @@
         const Instant now = framework::monotonicNow();
         const bool leaving
             = context_.draining && ControlTerm::shouldHandOver(changeInProgress_(), !context_.peers.serving(now).empty(), now - context_.drainingSince);
-        if (term_.active() && leaving) {
-            co_await release();
+        const bool handsOver = term_.active() && handover_.isDue(self(), otherCandidates(now), now) && !changeInProgress_();
+        if (term_.active() && (leaving || handsOver)) {
+            co_await release(leaving ? "graceful shutdown" : "a stronger gateway serves");
         } else if (term_.active()) {
             co_await renew();
         } else if (shouldAcquire()) {
@@ -148,10 +158,10 @@
     }
 }
 
-asio::awaitable<void> MapLease::release()
+asio::awaitable<void> MapLease::release(std::string_view reason)
 {
     const platform::HttpCall end = platform::revokeLeaseCall(term_.leaseId());
-    drop("graceful shutdown");
+    drop(reason);
     co_await context_.httpClient.call(context_.settings.store.address, end.method, end.target, end.body, STORE_CALL_TIMEOUT);
 }
 
--- a/src/gateway/internal/mapplanning.cpp
+++ b/src/gateway/internal/mapplanning.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/mapcontrollercommon.h"
 
+#include "framework/workpacer.h"
 #include "platform/enginecodec.h"
 #include "transport/tasks.h"
 
@@ -37,8 +38,8 @@
 constexpr double MEGABYTES_PER_GIGABYTE = 1'000.0;
 /// Weight of the newest measurement in the average pass time.
 constexpr double PASS_TIME_WEIGHT = 0.2;
-/// The search runs in slices, so that it does not delay the forwarding of requests.
-constexpr int PROPOSALS_PER_SLICE = 1'000;
+/// How often a planned search looks whether the one before it has ended.
+constexpr milliseconds SEARCH_TURN_INTERVAL{5};
 /// With many copies the search converges late, while demand moves on.
 constexpr int ADAPTIVE_PROPOSALS_PER_SET = 2'000;
 /// Time that a change may take to copy experts to one rank. The switch waits for the slowest rank, and demand moves in the meantime.
@@ -244,7 +245,13 @@
 
 asio::awaitable<void> MapController::plan(std::shared_ptr<Group> group)
 {
+    // One after the other: the first change begins sooner than if the searches shared the processor, and the turns of the loop stay short.
+    while (searching_) {
+        co_await transport::sleepFor(SEARCH_TURN_INTERVAL);
+    }
+    searching_ = true;
     co_await searchAndBeginChange(group);
+    searching_ = false;
     // Reset only now, because a search that starts during the preparation of a change would work on an outdated map.
     group->planning = false;
 }
@@ -289,14 +296,15 @@
     }
     const expertmap::GroupMap oldMap = group->map;
     expertmap::MapSearch search(options, oldMap, samples.training, context_.random());
-    Duration longestSlice{0};
+    framework::WorkPacer pacer({});
     bool searching = true;
     while (searching) {
         const Instant sliceBegun = framework::monotonicNow();
-        searching = search.improve(PROPOSALS_PER_SLICE);
-        longestSlice = std::max<Duration>(longestSlice, framework::monotonicNow() - sliceBegun);
+        searching = search.improve(pacer.units());
+        pacer.onSlice(framework::monotonicNow() - sliceBegun);
         co_await transport::sleepFor(milliseconds{1});
     }
+    searching_ = false;
     const Instant now = framework::monotonicNow();
     group->nextPlan = now + PLAN_INTERVAL;
     const double before = adaptive ? expertmap::meanMapSkew(oldMap, options.experts, samples.heldOut) : search.initialSkew();
@@ -323,7 +331,7 @@
                           {"copy_cost", std::to_string(options.copyCost)},
                           {"max_copies", std::to_string(options.maxAddedPerRank)},
                           {"search_ms", std::to_string(toMilliseconds(now - searchBegun).count())},
-                          {"longest_slice_ms", std::to_string(toMilliseconds(longestSlice).count())},
+                          {"longest_slice_ms", std::to_string(toMilliseconds(pacer.longestSlice()).count())},
                           {"until_shift_ms", std::to_string(toMilliseconds(group->demandShifts.untilNextShift(now)).count())}}});
     if (!worthIt) {
         co_return;
--- a/src/gateway/internal/requestadmission.cpp
+++ b/src/gateway/internal/requestadmission.cpp
@@ -42,6 +42,7 @@
     const int slotsPerEngine = profiled ? service->second.engine->slots : 0;
     while (true) {
         const Instant now = framework::monotonicNow();
+        const Instant listening = context_.listeningTime(now);
         const dispatch::EngineLoad load = context_.dispatcher.engineLoad(service_, now);
         dispatch::AdmissionView view;
         view.inFlight = load.inFlight + context_.peers.inFlightOfOthers(service_, now);
@@ -49,12 +50,12 @@
         view.entries = static_cast<int>(context_.peers.serving(now).size()) + 1;
         view.engines = load.usable;
         view.slotsPerEngine = slotsPerEngine;
-        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, now);
+        const std::optional<Duration> passTime = context_.passTimeTracker.passTime(service_, listening);
         view.passTimeKnown = passTime.has_value();
-        context_.passTimeTracker.onRequests(service_, load.inFlight, now);
-        view.groupDown = context_.peers.groupDown(service_, now) || context_.passTimeTracker.stalled(service_, now);
-        view.groupSilent = match_.route->kind == fleet::RequestKind::Stream && context_.silenceDetector.isServiceSilent(service_, now);
-        view.groupProgressing = context_.passTimeTracker.progressing(service_, now);
+        context_.passTimeTracker.onRequests(service_, load.inFlight, listening);
+        view.groupDown = context_.peers.groupDown(service_, now) || context_.passTimeTracker.stalled(service_, listening);
+        view.groupSilent = match_.route->kind == fleet::RequestKind::Stream && context_.silenceDetector.isServiceSilent(service_, listening);
+        view.groupProgressing = context_.passTimeTracker.progressing(service_, listening);
         view.isRetry = isRetry;
         view.waited = now - begin;
         view.left = deadline_ - now;
@@ -63,6 +64,7 @@
             co_return std::nullopt;
         }
         if (decision.admission == dispatch::Admission::Refuse) {
+            context_.retryDetector.onRefused(now);
             context_.log.report({"admission",
                                  "refused",
                                  ResultCode::UpstreamFull,
@@ -98,7 +100,7 @@
         const Instant now = framework::monotonicNow();
         const std::vector<dispatch::GroupView> groups = context_.loadControl.groups(service_, now);
         for (const dispatch::GroupView &group : groups) {
-            context_.passTimeTracker.onRequests(group.key, group.ownInFlight, now);
+            context_.passTimeTracker.onRequests(group.key, group.ownInFlight, context_.listeningTime(now));
         }
         request.waited = now - request_.receivedAt;
         request.left = deadline_ - now;
@@ -109,6 +111,7 @@
             co_return std::nullopt;
         }
         if (decision.admission == dispatch::Admission::Refuse) {
+            context_.retryDetector.onRefused(now);
             context_.metrics.onAdmission(match_.route->name, decision.reason);
             context_.log.report({"admission",
                                  "refused",
@@ -118,6 +121,8 @@
                                   {"priority", std::to_string(request.key.priority)},
                                   {"organisation", organisation_},
                                   {"returning", request.sinceFirstAttempt.count() > 0 ? "yes" : "no"},
+                                  {"since_first_ms", std::to_string(toMilliseconds(request.sinceFirstAttempt).count())},
+                                  {"stated_ms", std::to_string(stated.count())},
                                   {"fraction", std::to_string(request.share ? request.share->fraction : 1.0)},
                                   {"limit", std::to_string(decision.limit)},
                                   {"own_limit", std::to_string(decision.ownLimit)},
@@ -146,7 +151,7 @@
 {
     std::vector<std::string> silent;
     for (const std::string &key : context_.groups.keysOf(service_)) {
-        std::ranges::move(context_.silenceDetector.silentUpstreams(key, now), std::back_inserter(silent));
+        std::ranges::move(context_.silenceDetector.silentUpstreams(key, context_.listeningTime(now)), std::back_inserter(silent));
     }
     dispatch::PlacementRequest request{service_, triedUpstreams_, firstAttempt, silent, std::nullopt, trial_};
     if (!group_.empty() && !trial_) {
--- a/src/gateway/mapcontroller.h
+++ b/src/gateway/mapcontroller.h
@@ -158,6 +158,7 @@
     std::map<std::string, Instant> refreshedAt_; ///< Time of the last read of the reports, by service.
     std::map<std::string, Instant> agentBackoffUntil_; ///< Until when the agent is bypassed, by upstream.
     Instant lossTolerantUntil_{0}; ///< Until this time changes use SwitchOptions::lossTolerant().
+    bool searching_ = false; ///< A better map of some group is being searched for.
     int64_t groupsRevision_ = 0; ///< Of the last published list of groups in this term.
     int64_t termFencing_ = 0; ///< Fencing number of the term to which the state of the groups belongs.
 };
--- a/src/gateway/maplease.h
+++ b/src/gateway/maplease.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "gateway/controlcandidates.h"
 #include "gateway/controlterm.h"
 #include "gateway/gatewaycontext.h"
 #include "platform/storecodec.h"
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
+#include <vector>
 
 namespace daisymount::gateway
 {
@@ -32,12 +34,16 @@
 private:
     transport::asio::awaitable<void> acquire();
     transport::asio::awaitable<void> renew();
-    transport::asio::awaitable<void> release();
+    transport::asio::awaitable<void> release(std::string_view reason);
+    ControlCandidate self() const;
+    /// The other serving gateways.
+    std::vector<ControlCandidate> otherCandidates(Instant now) const;
     bool shouldAcquire() const;
 
     GatewayContext &context_;
     std::function<bool()> changeInProgress_;
     ControlTerm term_;
+    ControlHandover handover_;
 };
 
 } // namespace daisymount::gateway
