--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -75,23 +75,4 @@
     RetryDelay retryDelay_;
 };
 
-/// Detects retries of rejected requests by their shorter remaining deadline.
-class RetryDetector
-{
-public:
-    /// @p deadline is the value stated in the request. First attempts on a route all state the same one.
-    bool isRetry(std::string_view route, milliseconds deadline, Instant now);
-    /// Time since the caller's first attempt, from the deadline that is left; 0 for a first attempt.
-    Duration timeSinceFirstAttempt(std::string_view route, milliseconds deadline, Instant now);
-
-private:
-    struct LongestDeadline
-    {
-        milliseconds deadline{0};
-        Instant seenAt{0};
-    };
-
-    std::map<std::string, LongestDeadline, std::less<>> longest_; ///< By route.
-};
-
 } // namespace daisymount::dispatch
--- a/src/dispatch/internal/engineadmission.cpp
+++ b/src/dispatch/internal/engineadmission.cpp
@@ -8,14 +8,6 @@
 namespace daisymount::dispatch
 {
 
-namespace
-{
-/// A request with a smaller fraction of the usual deadline of its route is a retry.
-constexpr double FIRST_ATTEMPT_MIN_FRACTION = 0.95;
-/// A longer deadline from an earlier configuration is discarded after this time.
-constexpr Duration DEADLINE_RETENTION = framework::seconds{20};
-} // namespace
-
 EngineAdmission::EngineAdmission(const AdmissionOptions &options, uint64_t seed) : options_(options), retryDelay_(seed)
 { }
 
@@ -60,22 +52,4 @@
     return slots * (view.isRetry ? 1.0 : options_.slotFraction);
 }
 
-Duration RetryDetector::timeSinceFirstAttempt(std::string_view route, milliseconds deadline, Instant now)
-{
-    return isRetry(route, deadline, now) ? longest_.find(route)->second.deadline - deadline : milliseconds{0};
-}
-
-bool RetryDetector::isRetry(std::string_view route, milliseconds deadline, Instant now)
-{
-    auto found = longest_.find(route);
-    if (found == longest_.end()) {
-        found = longest_.emplace(std::string(route), LongestDeadline{}).first;
-    }
-    LongestDeadline &longest = found->second;
-    if (deadline >= longest.deadline || now - longest.seenAt > DEADLINE_RETENTION) {
-        longest = {deadline, now};
-    }
-    return static_cast<double>(deadline.count()) < FIRST_ATTEMPT_MIN_FRACTION * static_cast<double>(longest.deadline.count());
-}
-
 } // namespace daisymount::dispatch
--- a/src/dispatch/internal/serviceadmission.cpp
+++ b/src/dispatch/internal/serviceadmission.cpp
@@ -207,7 +207,7 @@
     if (!request.share) {
         request.share = shares_.admit(request.key, request.left, now);
     }
-    if (!request.share->admit) {
+    if (!request.share->admit && room.fill() >= options_.openFill) {
         shareRefused_ = true;
         return refuse(request, toString(request.share->reason), room);
     }
--- a/src/dispatch/serviceadmission.h
+++ b/src/dispatch/serviceadmission.h
@@ -59,6 +59,8 @@
     milliseconds outageWait{1'300}; ///< Longest wait of a returning caller for a group that is down.
     double lending = 1.5; ///< Multiple of its part of a limit that an entry may use while the group has room.
     double roomFraction = 0.9; ///< A group with less than this fraction of its limit in flight has room.
+    /// Below this fraction of the limits nobody is refused for a share: measured demand and capacity lag behind when a flood of callers ends.
+    double openFill = 0.9;
     double priorityHeadroom = 0.08; ///< Fraction of a limit that is kept free for more urgent priorities, by steps of priority.
 };
 
