--- a/src/dispatch/tests/admissionfill_tests.cpp
+++ b/src/dispatch/tests/admissionfill_tests.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdlib>
 #include <map>
 #include <random>
 #include <string>
@@ -27,7 +28,6 @@
 constexpr double FLOOD_END_S = 6.0;
 constexpr double MEASURED_FROM_S = 2.5;
 constexpr double END_S = 7.5;
-constexpr uint64_t SEEDS = 8;
 constexpr double MEAN_EVENTS = 19.0;
 constexpr double PERMITTED_PAUSE_S = 0.15;
 constexpr double OBJECTIVE_S = 0.5;
@@ -51,6 +51,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/// Number of seeds to play; DAISYMOUNT_SEEDS plays more by hand.
+uint64_t seedCount()
+{
+    constexpr uint64_t USUAL = 24;
+    const char *text = std::getenv("DAISYMOUNT_SEEDS");
+    return text == nullptr ? USUAL : std::strtoull(text, nullptr, 10);
+}
+
 struct Scenario
 {
     uint64_t seed = 1;
@@ -416,16 +424,17 @@
 /// Guards against callers that are refused while a part of the limit is idle.
 TEST(AdmissionFill, underOverloadTheLimitIsInUseAndFewCallersAreRefusedWithRoom)
 {
+    const uint64_t seeds = seedCount();
     double fill = 0.0;
     int refusals = 0;
     int withRoom = 0;
     int passes = 0;
     int latePasses = 0;
-    for (uint64_t seed = 1; seed <= SEEDS; ++seed) {
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
         const Outcome outcome = SimulatedService(randomScenario(seed)).play();
         const std::string text = "seed " + std::to_string(seed) + ": fill " + std::to_string(outcome.meanFill);
         CHECK_TEXT(outcome.meanFill >= 0.9, text.c_str());
-        fill += outcome.meanFill / SEEDS;
+        fill += outcome.meanFill / static_cast<double>(seeds);
         refusals += outcome.refusals;
         withRoom += outcome.refusalsWithRoom;
         passes += outcome.passes;
@@ -439,8 +448,9 @@
 /// Guards against a kind of requests that turns into returning callers under a flood and is then served worse than a less urgent one.
 TEST(AdmissionFill, noPriorityIsServedWorseThanALessUrgentOne)
 {
+    const uint64_t seeds = seedCount();
     std::array<double, PRIORITIES> served{};
-    for (uint64_t seed = 1; seed <= SEEDS; ++seed) {
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
         Scenario scenario = randomScenario(seed);
         scenario.entries = 3 + static_cast<int>(seed % 20);
         scenario.mix[seed % PRIORITIES] += 0.5; // A flood of one of them.
@@ -453,7 +463,7 @@
             CHECK_TEXT(own >= next - 0.05, text.c_str());
         }
         for (size_t priority = 0; priority < PRIORITIES; ++priority) {
-            served[priority] += outcome.kinds[priority].fraction() / SEEDS;
+            served[priority] += outcome.kinds[priority].fraction() / static_cast<double>(seeds);
             // Every priority is assured of a part, whoever floods the service.
             CHECK_TEXT(outcome.kinds[priority].fraction() >= 0.1, ("seed " + std::to_string(seed)).c_str());
         }
