configsync: a revision without history is not taken from peers again

Causes: a watch that ends while the store is compacted tells a revision without the change before it, and gateways asked for changes from there; and after 410 they took the same revision from each other's heartbeats, so that nobody read the keys as a whole (history_gone several times a second). A told revision counts only after 5 s without a change, and one whose history is gone is not taken again.

Tests changesAreAskedForFromARevisionThatIsNotTooNew and aRevisionWithoutHistoryIsNotTakenFromPeersAgain.

--- a/src/configsync/configcurrency.h
+++ b/src/configsync/configcurrency.h
@@ -11,6 +11,7 @@
 #include "framework/clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -85,8 +86,11 @@
     void setMaxAge(milliseconds maxAge);
     /// The gateway has applied these keys.
     void onApplied(const KeyRevisions &own);
-    /// The store, asked at @p askedAt, has told all changes up to @p storeRevision, and they were applied.
-    void onConfirmed(int64_t storeRevision, Instant askedAt);
+    /// All keys were read, asked for at @p askedAt, when the store was at @p storeRevision, and applied.
+    void onKeysRead(int64_t storeRevision, Instant askedAt);
+    /// The store, asked at @p askedAt, has told changes up to @p lastChange, 0 if there were none, and they were applied. While a store is compacted,
+    /// watches may hear nothing for a moment, so that @p storeRevision is not taken for read until REVISION_LAG has passed without a change.
+    void onChangesRead(int64_t lastChange, int64_t storeRevision, Instant askedAt);
     /// The store no longer has the changes after confirmedRevision().
     void onHistoryGone();
     /// A peer has sent @p report at @p sentAt. Returns true if it has newer keys.
@@ -106,7 +110,17 @@
     /// True if the gateway is behind, or cannot know whether it is, for longer than maxAge.
     bool isStale(Instant now) const;
 
+    static constexpr Duration REVISION_LAG = framework::seconds{5};
+
 private:
+    /// A revision of the store that was told without a change.
+    struct ToldRevision
+    {
+        Instant at{0};
+        int64_t revision = 0;
+    };
+
+    void confirm(Instant askedAt);
     bool isBehind() const;
     /// Time until the evidence is older than maxAge; negative after that.
     milliseconds remaining(Instant now) const;
@@ -118,7 +132,9 @@
     KeyRevisions newest_; ///< Known to exist. At least own_.
     Instant behindSince_{0}; ///< When newest_ became newer than own_, valid while it is.
     Instant learnedAt_{0}; ///< When newest_ was last raised.
-    int64_t confirmedRevision_ = 0; ///< Never decreases, except to 0.
+    int64_t confirmedRevision_ = 0; ///< Changes are asked for from here. Never decreases, except to 0.
+    int64_t goneRevision_ = 0; ///< The store no longer has the changes after it; peers may still tell it.
+    std::deque<ToldRevision> told_; ///< Later than confirmedRevision_, oldest first.
     std::optional<Instant> confirmedAt_; ///< Never decreases.
     Duration checkAge_{0}; ///< Age of the evidence at which the store is asked. Differs between gateways, so that one of them asks for all.
     std::map<std::string, Instant, std::less<>> failedPeers_; ///< Time of the last failed fetch, by peer.
--- a/src/configsync/internal/configcurrency.cpp
+++ b/src/configsync/internal/configcurrency.cpp
@@ -65,9 +65,8 @@
     newest_ = merged(newest_, own);
 }
 
-void ConfigCurrency::onConfirmed(int64_t storeRevision, Instant askedAt)
+void ConfigCurrency::confirm(Instant askedAt)
 {
-    confirmedRevision_ = std::max(confirmedRevision_, storeRevision);
     if (!confirmedAt_ || askedAt > *confirmedAt_) {
         confirmedAt_ = askedAt;
         drawCheckAge();
@@ -78,8 +77,28 @@
     }
 }
 
+void ConfigCurrency::onKeysRead(int64_t storeRevision, Instant askedAt)
+{
+    told_.clear();
+    confirmedRevision_ = std::max(confirmedRevision_, storeRevision);
+    confirm(askedAt);
+}
+
+void ConfigCurrency::onChangesRead(int64_t lastChange, int64_t storeRevision, Instant askedAt)
+{
+    confirmedRevision_ = std::max(confirmedRevision_, lastChange);
+    told_.push_back({askedAt, storeRevision});
+    while (askedAt - told_.front().at >= REVISION_LAG) {
+        confirmedRevision_ = std::max(confirmedRevision_, told_.front().revision);
+        told_.pop_front();
+    }
+    confirm(askedAt);
+}
+
 void ConfigCurrency::onHistoryGone()
 {
+    told_.clear();
+    goneRevision_ = std::max(goneRevision_, confirmedRevision_);
     confirmedRevision_ = 0;
 }
 
@@ -93,7 +112,7 @@
         learnedAt_ = now;
     }
     const bool hasNewer = isNewer(report.revisions, own_);
-    if (hasNewer || report.confirmedRevision <= 0) {
+    if (hasNewer || report.confirmedRevision <= goneRevision_) {
         return hasNewer;
     }
     // The peer's keys were the newest ones at that revision, and the own ones are not older.
--- a/src/configsync/tests/configcurrency_tests.cpp
+++ b/src/configsync/tests/configcurrency_tests.cpp
@@ -29,7 +29,7 @@
     void setup() override
     {
         currency.onApplied({10, 1});
-        currency.onConfirmed(50, START);
+        currency.onKeysRead(50, START);
     }
 
     static Instant at(int ms)
@@ -97,7 +97,7 @@
     }
     CHECK(currency.next(sources, at(1'150)).action == SyncAction::AskStore);
     // The store has nothing newer, so the peer's word is void.
-    currency.onConfirmed(70, at(1'150));
+    currency.onChangesRead(0, 70, at(1'150));
     CHECK(currency.behindFor(at(1'200)) == Duration{0});
 }
 
@@ -125,6 +125,31 @@
     CHECK(currency.behindFor(at(700)) == milliseconds{100});
 }
 
+/// Guards against skipping a change that a watch has not told while the store was compacted.
+TEST(ConfigCurrency, changesAreAskedForFromARevisionThatIsNotTooNew)
+{
+    for (int ms = 500; ms <= 4'500; ms += 500) {
+        currency.onChangesRead(0, 60 + ms / 100, at(ms));
+        LONGS_EQUAL(50, currency.confirmedRevision());
+    }
+    currency.onChangesRead(0, 120, at(5'600));
+    LONGS_EQUAL(65, currency.confirmedRevision());
+    currency.onChangesRead(130, 140, at(5'700));
+    LONGS_EQUAL(130, currency.confirmedRevision());
+    LONGS_EQUAL(130, currency.report(at(5'700)).confirmedRevision);
+}
+
+/// Guards against gateways that tell each other of a revision after which the store has no history, and never read the keys again.
+TEST(ConfigCurrency, aRevisionWithoutHistoryIsNotTakenFromPeersAgain)
+{
+    currency.onHistoryGone();
+    currency.onPeerReport({{10, 1}, 50, milliseconds{0}}, at(1'000), at(1'000));
+    LONGS_EQUAL(0, currency.confirmedRevision());
+    CHECK(*currency.evidenceAge(at(1'000)) == milliseconds{1'000});
+    currency.onPeerReport({{10, 1}, 51, milliseconds{0}}, at(1'100), at(1'100));
+    LONGS_EQUAL(51, currency.confirmedRevision());
+}
+
 TEST(ConfigCurrency, allKeysAreReadAgainWhenTheHistoryIsGone)
 {
     currency.onHistoryGone();
@@ -144,7 +169,7 @@
         for (size_t i = 0; i < count; ++i) {
             ConfigCurrency currency({.maxAge = MAX_AGE, .seed = seed * 100 + i});
             currency.onApplied({1, 1});
-            currency.onConfirmed(1, START);
+            currency.onKeysRead(1, START);
             gateways_.push_back({std::move(currency), i < 3});
         }
     }
@@ -203,7 +228,7 @@
     {
         if (member.watches && !member.watchSilent && now_ >= member.nextWatch) {
             apply(member, config_);
-            member.currency.onConfirmed(storeRevision_, now_);
+            member.currency.onKeysRead(storeRevision_, now_);
             member.nextWatch = now_ + WATCH_WAIT;
         }
         if (now_ >= member.nextHeartbeat) {
@@ -234,7 +259,7 @@
         const SyncStep step = member.currency.next(sources, now_);
         if (step.action == SyncAction::AskStore) {
             apply(member, config_);
-            member.currency.onConfirmed(storeRevision_, now_);
+            member.currency.onKeysRead(storeRevision_, now_);
             member.currency.onStoreAsked(true, now_);
         } else if (step.action == SyncAction::FetchFromPeer) {
             const Member &peer = gateways_[std::stoul(step.peer)];
--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -106,7 +106,9 @@
         applyOperatorItem(item, false);
     }
     applyZones(page.revision);
-    publishKeys(page.revision, askedAt, true);
+    context_.currency.onApplied(ownRevisions());
+    context_.currency.onKeysRead(page.revision, askedAt);
+    publishKeys();
     co_return true;
 }
 
@@ -119,7 +121,9 @@
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
         bool zonesChanged = false;
+        int64_t lastChange = 0;
         for (const platform::StoreChange &change : changes.changes) {
+            lastChange = std::max(lastChange, change.item.revision);
             applyOperatorItem(change.item, change.deleted);
             zonesChanged = zonesChanged || change.item.key.starts_with(platform::ZONE_EVACUATION_PREFIX);
         }
@@ -129,7 +133,11 @@
         }
         // A call without changes was answered when its wait had ended.
         const bool waited = changes.changes.empty() && framework::monotonicNow() - askedAt >= wait;
-        publishKeys(changes.revision, waited ? askedAt + wait : askedAt, !changes.changes.empty());
+        context_.currency.onApplied(ownRevisions());
+        context_.currency.onChangesRead(lastChange, changes.revision, waited ? askedAt + wait : askedAt);
+        if (!changes.changes.empty()) {
+            publishKeys();
+        }
         return {};
     });
     if (read.code == ResultCode::CasConflict) {
@@ -170,14 +178,15 @@
     context_.view.applyZonesOut(zonesOut_, revision);
 }
 
-void StoreSync::publishKeys(int64_t storeRevision, Instant confirmedAt, bool changed)
+configsync::KeyRevisions StoreSync::ownRevisions() const
 {
-    context_.currency.onApplied({context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()});
-    context_.currency.onConfirmed(storeRevision, confirmedAt);
-    if (changed) {
-        publishChange();
-        context_.onOwnKeysRead();
-    }
+    return {context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()};
+}
+
+void StoreSync::publishKeys()
+{
+    publishChange();
+    context_.onOwnKeysRead();
 }
 
 void StoreSync::wakeSync()
@@ -270,7 +279,7 @@
         context_.view.applyZonesOut(snapshot->zonesOut, snapshot->zonesRevision);
     }
     if (newConfig || newZones) {
-        context_.currency.onApplied({context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()});
+        context_.currency.onApplied(ownRevisions());
         publishChange();
     }
     co_return newConfig || newZones;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -57,8 +57,9 @@
     std::vector<configsync::KeySource> keySources(Instant now) const;
     /// Logs when the operator keys become stale, or are current again.
     void reportStaleness(Instant now);
-    /// The store has told the operator keys up to @p storeRevision, as of @p confirmedAt.
-    void publishKeys(int64_t storeRevision, Instant confirmedAt, bool changed);
+    configsync::KeyRevisions ownRevisions() const;
+    /// Tells others of operator keys that were read from the store.
+    void publishKeys();
     transport::asio::awaitable<void> pollUpstreams();
     transport::asio::awaitable<bool> readUpstreams();
     transport::asio::awaitable<void> maintainRegistration();
