--- a/src/configsync/internal/configcurrency.cpp
+++ b/src/configsync/internal/configcurrency.cpp
@@ -25,11 +25,6 @@
     const KeyRevisions &zones = b.zones > a.zones ? b : a;
     return {std::max(a.config, b.config), zones.zones, zones.zonesDigest};
 }
-
-double preference(const KeySource &source)
-{
-    return source.sameZone ? 1.0 : 0.0;
-}
 } // namespace
 
 bool isNewer(const KeyRevisions &a, const KeyRevisions &b)
@@ -162,7 +157,7 @@
     if (usable.empty()) {
         return std::nullopt;
     }
-    const auto rank = [](const KeySource *source) { return std::pair(preference(*source), source->revisions.config); };
+    const auto rank = [](const KeySource *source) { return std::pair(source->sameZone, source->revisions.config); };
     const auto best = rank(*std::ranges::max_element(usable, {}, rank));
     std::erase_if(usable, [&](const KeySource *source) { return rank(source) != best; });
     // Followers choose at random, so that they don't all fetch a large configuration from one small machine.
