soak: traffic of the deployments, leaving upstreams, callers that stay until the process is gone

Its callers each sent one stream after the other and its engines took the same time for every pass: skew() iterated over a part of a temporary and returned 0. Change: profiles of three deployments (classes, rates, sizes of prompts and answers, hints, zones, gateways, ranks, engines whose passes take as long as their published timing says), requests that arrive whether or not the site answers, kept connections, one return after a refusal, and 40 connections to each gateway that is terminated, used until they are closed. Plain upstreams and ranks are replaced (draining, or without a word), configurations change, the gateway that controls the maps and half of the gateways are stopped. It judges requests that reach an upstream after its drain time, and prints how near to the bounds the run came. What it writes for the platform goes through platform/standins, tested against the decoders. The port of the agents no longer meets one of an engine. Not covered: preemption for want of memory, slow readers, kills, pauses, cuts.

--- a/src/gateway/tests/storestandin.h
+++ b/src/gateway/tests/storestandin.h
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Value of an item; empty if there is none.
+    std::string get(const std::string &key) const
+    {
+        const auto item = items_.find(key);
+        return item == items_.end() ? std::string() : platform::decodeBase64(item->second.value).value_or("");
+    }
+
     std::vector<std::string> keys(std::string_view prefix) const
     {
         std::vector<std::string> found;
--- a/src/soak/internal/process.cpp
+++ b/src/soak/internal/process.cpp
@@ -112,6 +112,11 @@
     return options_.ip + ":" + std::to_string(options_.ports.directory);
 }
 
+std::string Process::callerAddress() const
+{
+    return options_.engine.empty() ? options_.ip + ":" + std::to_string(options_.ports.callers) : std::string();
+}
+
 framework::Instant Process::terminatedAt() const
 {
     return terminatedAt_;
--- a/src/soak/internal/rankgroup.cpp
+++ b/src/soak/internal/rankgroup.cpp
@@ -26,9 +26,11 @@
 constexpr milliseconds IDLE_INTERVAL{5};
 constexpr milliseconds STREAM_POLL_INTERVAL{20};
 constexpr milliseconds WRITE_TIMEOUT{3'000};
-/// Share of the demand that changes with the topic of the prompts.
-constexpr double TOPIC_SHARE = 0.7;
 constexpr int SELECTIONS_PER_STREAM = 4'000;
+/// A replaced rank returns after this time.
+constexpr milliseconds DOWN_TIME{1'000};
+const std::string ID_PREFIX = "i-rank";
+constexpr double MICROSECONDS_PER_MS = 1'000.0;
 
 std::string reply(int status, const std::string &body, const std::string &fields = "")
 {
@@ -52,17 +54,108 @@
     for (int i = 0; i < options.ranks; ++i) {
         Rank &rank = ranks_[static_cast<size_t>(i)];
         rank.counts.assign(static_cast<size_t>(options.sets) * static_cast<size_t>(options.experts), 0);
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(network + std::to_string(i + 1)), options.port);
-        rank.acceptor = transport::listenAt(executor_, endpoint, [this, i](transport::ConnectionPtr connection) {
-            asio::co_spawn(executor_, serve(i, std::move(connection)), asio::detached);
-        });
+        listen(i, options.port);
     }
     asio::co_spawn(executor_, passes(), asio::detached);
 }
 
+void RankGroup::listen(int rank, uint16_t port)
+{
+    Rank &state = ranks_[static_cast<size_t>(rank)];
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(network_ + std::to_string(rank + 1)), port);
+    state.acceptor = transport::listenAt(executor_, endpoint, [this, rank](transport::ConnectionPtr connection) {
+        ranks_[static_cast<size_t>(rank)].connections.push_back(connection);
+        asio::co_spawn(executor_, serve(rank, std::move(connection)), asio::detached);
+    });
+}
+
+bool RankGroup::isOpen() const
+{
+    return ranksAway_ == 0 && framework::monotonicNow() >= opensAt_;
+}
+
+void RankGroup::breakOff()
+{
+    for (const std::shared_ptr<Stream> &stream : streams_) {
+        if (!stream->ended) {
+            stream->ended = true;
+            runs_[stream->requestId].brokenOff = true;
+            stream->connection->reset();
+        }
+    }
+}
+
+void RankGroup::beginEpoch()
+{
+    ++epoch_;
+    for (Rank &rank : ranks_) {
+        rank.map = PreparedMap{};
+        rank.prepared.reset();
+        rank.armedPass.reset();
+        rank.heldPass.reset();
+    }
+    opensAt_ = framework::monotonicNow() + options_.formTime;
+    onEvent("the group forms in epoch " + std::to_string(epoch_));
+}
+
+asio::awaitable<void> RankGroup::replace(int rank, std::function<void(const std::string &id, bool registered)> update)
+{
+    Rank &state = ranks_[static_cast<size_t>(rank)];
+    if (state.draining) {
+        co_return;
+    }
+    const std::string old = id(rank);
+    state.draining = true;
+    update(old, true);
+    state.leavingSince = framework::monotonicNow();
+    onEvent(old + " drains");
+    co_await transport::sleepFor(options_.drainTime + milliseconds{200 + random_() % 2'000});
+    const uint16_t port = state.acceptor->local_endpoint().port();
+    boost::system::error_code ignored;
+    state.acceptor->close(ignored);
+    ++ranksAway_;
+    ++state.starts;
+    breakOff();
+    for (const auto &weak : state.connections) {
+        if (const transport::ConnectionPtr connection = weak.lock()) {
+            connection->close();
+        }
+    }
+    state.connections.clear();
+    update(old, false);
+    onEvent(old + " has ended");
+    co_await transport::sleepFor(DOWN_TIME);
+    state.draining = false;
+    state.leavingSince = Instant{0};
+    std::ranges::fill(state.counts, 0);
+    listen(rank, port);
+    --ranksAway_;
+    beginEpoch();
+    update(id(rank), true);
+}
+
 std::string RankGroup::id(int rank) const
 {
-    return "i-rank" + std::to_string(rank);
+    const int starts = ranks_[static_cast<size_t>(rank)].starts;
+    return ID_PREFIX + std::to_string(rank) + (starts > 1 ? "-" + std::to_string(starts) : std::string());
+}
+
+int RankGroup::rankOf(const std::string &id) const
+{
+    return std::atoi(id.c_str() + ID_PREFIX.size());
+}
+
+bool RankGroup::usesPort(int first, int end) const
+{
+    return std::ranges::any_of(ranks_, [&](const Rank &rank) {
+        const int port = rank.acceptor->local_endpoint().port();
+        return port >= first && port < end;
+    });
+}
+
+milliseconds RankGroup::drainTime() const
+{
+    return options_.drainTime;
 }
 
 std::string RankGroup::address(int rank) const
@@ -73,7 +166,8 @@
 std::string RankGroup::registration(int rank, const std::string &service, const std::string &zone) const
 {
     return R"({"service":")" + service + R"(","address":")" + address(rank) + R"(","zone":")" + zone + R"(","version":"v1","slots":)"
-        + std::to_string(options_.slots) + R"(,"state":"ready","cold_remaining_ms":0,"sequence":0,"born":)" + std::to_string(bornMs_) + "}";
+        + std::to_string(options_.slots) + R"(,"state":")" + (ranks_[static_cast<size_t>(rank)].draining ? "draining" : "ready")
+        + R"(","cold_remaining_ms":0,"sequence":0,"born":)" + std::to_string(bornMs_ + ranks_[static_cast<size_t>(rank)].starts) + "}";
 }
 
 void RankGroup::shiftDemand()
@@ -81,17 +175,27 @@
     topic_ = static_cast<unsigned>(random_() % 1'000);
 }
 
-const EngineRun *RankGroup::run(const std::string &requestId) const
+const UpstreamRun *RankGroup::run(const std::string &requestId) const
 {
     const auto found = runs_.find(requestId);
     return found == runs_.end() ? nullptr : &found->second;
 }
 
+Duration RankGroup::latestArrival() const
+{
+    return latestArrival_;
+}
+
 int RankGroup::mixedPasses() const
 {
     return mixedPasses_;
 }
 
+Duration RankGroup::meanPass() const
+{
+    return pass_ == 0 ? Duration{0} : passSum_ / pass_;
+}
+
 int RankGroup::switches() const
 {
     return switches_;
@@ -109,10 +213,10 @@
         std::erase_if(streams_, [](const auto &stream) { return stream->ended; });
         const bool held = std::ranges::any_of(ranks_, [this](const Rank &rank) { return rank.heldPass && *rank.heldPass <= pass_ + 1; });
         const Instant now = framework::monotonicNow();
-        if (streams_.empty()) {
+        if (streams_.empty() || !isOpen()) {
             lastPassAt_ = now;
         }
-        if (streams_.empty() || held) {
+        if (streams_.empty() || !isOpen() || held) {
             if (!streams_.empty()) {
                 longestStand_ = std::max<Duration>(longestStand_, now - lastPassAt_);
                 if (!standing && now - lastPassAt_ > milliseconds{300}) {
@@ -129,9 +233,13 @@
         }
         lastPassAt_ = now;
         beginPass();
-        co_await transport::sleepFor(passTime());
+        const Duration length = passTime();
+        passSum_ += length;
+        co_await transport::sleepFor(length);
         for (const std::shared_ptr<Stream> &stream : streams_) {
-            writeEvent(stream);
+            if (stream->inPass && ranksAway_ == 0) {
+                writeEvent(stream);
+            }
         }
     }
 }
@@ -158,7 +266,59 @@
     }
 }
 
-Duration RankGroup::passTime() const
+double RankGroup::processRank(int rank)
+{
+    const fleet::EngineProfile &timing = *options_.timing;
+    const Instant now = framework::monotonicNow();
+    int admitted = 0;
+    int decoding = 0;
+    int contextTokens = 0;
+    int promptBudget = timing.chunkTokens * timing.stepsPerPass;
+    int promptTokens = 0;
+    for (const std::shared_ptr<Stream> &stream : streams_) {
+        stream->inPass = stream->rank == rank ? false : stream->inPass;
+        if (stream->rank != rank || stream->ended || now < stream->receivedAt + options_.timeToFirstPass || admitted == options_.slots) {
+            continue;
+        }
+        ++admitted;
+        const int read = std::min(stream->promptTokensLeft, promptBudget);
+        stream->promptTokensLeft -= read;
+        stream->contextTokens += read;
+        promptBudget -= read;
+        promptTokens += read;
+        if (stream->promptTokensLeft > 0) {
+            continue;
+        }
+        ++decoding;
+        contextTokens += stream->contextTokens;
+        stream->inPass = true;
+    }
+    const double stepMs
+        = timing.stepMs + timing.stepMsPerSequence * decoding + timing.stepMsPerThousandContextTokens * static_cast<double>(contextTokens) / 1'000.0;
+    return timing.stepsPerPass * stepMs + promptTokens * 1'000.0 / timing.promptTokensPerSecond;
+}
+
+Duration RankGroup::passTime()
+{
+    if (!options_.timing) {
+        for (const std::shared_ptr<Stream> &stream : streams_) {
+            stream->inPass = true;
+        }
+        return std::chrono::duration_cast<Duration>(options_.balancedPass * (0.6 + 0.4 * skew()));
+    }
+    double slowestMs = 0;
+    double sumMs = 0;
+    for (int rank = 0; rank < options_.ranks; ++rank) {
+        const double ms = processRank(rank);
+        slowestMs = std::max(slowestMs, ms);
+        sumMs += ms;
+    }
+    const double expertShare = options_.timing->experts ? options_.timing->experts->workShare : 0.0;
+    const double ms = (1.0 - expertShare) * slowestMs + expertShare * skew() * sumMs / options_.ranks;
+    return Duration{static_cast<int64_t>(ms * MICROSECONDS_PER_MS)};
+}
+
+double RankGroup::skew() const
 {
     double skew = 0;
     for (int set = 0; set < options_.sets; ++set) {
@@ -166,7 +326,8 @@
         std::vector<int> holders(share.size(), 0);
         std::vector<std::vector<int>> held(ranks_.size());
         for (int rank = 0; rank < options_.ranks; ++rank) {
-            for (const Json::Value &expert : expertsOf(rank, ranks_[static_cast<size_t>(rank)].map)[set]) {
+            const Json::Value lists = expertsOf(rank, ranks_[static_cast<size_t>(rank)].map);
+            for (const Json::Value &expert : lists[set]) {
                 held[static_cast<size_t>(rank)].push_back(expert.asInt());
                 ++holders[static_cast<size_t>(expert.asInt())];
             }
@@ -181,7 +342,7 @@
         }
         skew += most * options_.ranks / options_.sets;
     }
-    return std::chrono::duration_cast<Duration>(options_.balancedPass * (0.6 + 0.4 * skew));
+    return skew;
 }
 
 void RankGroup::writeEvent(const std::shared_ptr<Stream> &stream)
@@ -199,7 +360,7 @@
     std::array<char, 16> size{};
     std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
     bytes += size.data() + event + "\r\n";
-    EngineRun &run = runs_[stream->requestId];
+    UpstreamRun &run = runs_[stream->requestId];
     run.lastEventAt = framework::monotonicNow();
     if (++stream->next >= stream->events) {
         bytes += "0\r\n\r\n";
@@ -210,17 +371,23 @@
 
 asio::awaitable<void> RankGroup::serve(int rank, transport::ConnectionPtr connection)
 {
+    const int incarnation = ranks_[static_cast<size_t>(rank)].starts;
     while (connection->open()) {
         const std::optional<ReceivedRequest> request = co_await gateway::tests::readRequest(*connection);
-        if (!request) {
+        if (!request || ranks_[static_cast<size_t>(rank)].starts != incarnation) {
             break;
         }
         const std::string expected = request->field("X-Expect-Instance");
         if (!expected.empty() && expected != id(rank)) {
             co_await connection->write(reply(421, ""), WRITE_TIMEOUT);
-        } else if (request->target.starts_with("/-/")) {
+            continue;
+        }
+        if (request->target.starts_with("/-/")) {
             co_await connection->write(answer(rank, *request), WRITE_TIMEOUT);
-        } else if (ranks_[static_cast<size_t>(rank)].running >= options_.slots) {
+            continue;
+        }
+        noteArrival(rank, request->field("X-Request-Id"));
+        if (!isOpen() || ranks_[static_cast<size_t>(rank)].running >= options_.slots + options_.queue) {
             co_await connection->write(reply(503, "", "X-Request-Id: " + request->field("X-Request-Id") + "\r\nX-Not-Executed: 1\r\n"), WRITE_TIMEOUT);
         } else {
             co_await runStream(rank, connection, *request);
@@ -239,8 +406,10 @@
     stream->requestId = request.field("X-Request-Id");
     stream->rank = rank;
     stream->next = lastEventId.empty() ? 0 : std::atoi(lastEventId.c_str()) + 1;
-    stream->events = std::max(stream->next + 1, tokens / options_.tokensPerEvent);
-    runs_[stream->requestId].lastEventAt = framework::monotonicNow();
+    stream->events = std::max(stream->next + 1, eventsOf(stream->requestId).value_or(tokens / options_.tokensPerEvent));
+    stream->promptTokensLeft = std::atoi(usage.c_str());
+    stream->receivedAt = framework::monotonicNow();
+    runs_[stream->requestId] = UpstreamRun{framework::monotonicNow(), false, false};
     streams_.push_back(stream);
     Rank &state = ranks_[static_cast<size_t>(rank)];
     ++state.running;
@@ -257,6 +426,19 @@
     --state.running;
 }
 
+void RankGroup::noteArrival(int rank, const std::string &requestId)
+{
+    const Instant leavingSince = ranks_[static_cast<size_t>(rank)].leavingSince;
+    if (leavingSince == Instant{0}) {
+        return;
+    }
+    const Duration late = framework::monotonicNow() - leavingSince;
+    latestArrival_ = std::max(latestArrival_, late);
+    if (late > options_.drainTime) {
+        onLateArrival(requestId, late);
+    }
+}
+
 std::string RankGroup::answer(int rank, const ReceivedRequest &request)
 {
     const std::string requestId = request.field("X-Request-Id");
@@ -285,11 +467,11 @@
     json["sequence"] = static_cast<Json::Int64>(state.sequence);
     json["running"] = state.running;
     json["pace"] = 1.0;
-    json["born"] = static_cast<Json::Int64>(bornMs_);
+    json["born"] = static_cast<Json::Int64>(bornMs_ + state.starts);
     json["group"]["name"] = "g0";
-    json["group"]["epoch"] = 1;
+    json["group"]["epoch"] = static_cast<Json::Int64>(epoch_);
     json["group"]["rank"] = rank;
-    json["group"]["state"] = "open";
+    json["group"]["state"] = isOpen() ? "open" : "broken";
     json["group"]["size"] = options_.ranks;
     json["size"] = options_.ranks;
     json["step"] = static_cast<Json::Int64>(pass_);
@@ -329,7 +511,7 @@
     const Rank &state = ranks_[static_cast<size_t>(rank)];
     Json::Value json;
     json["step"] = static_cast<Json::Int64>(pass_);
-    json["epoch"] = 1;
+    json["epoch"] = static_cast<Json::Int64>(epoch_);
     if (withLists) {
         json["map"]["version"] = static_cast<Json::Int64>(state.map.version);
         json["map"]["experts"] = expertsOf(rank, state.map);
@@ -365,7 +547,7 @@
         return FENCED;
     }
     state.fencing = order["fencing_token"].asInt64();
-    if (order["epoch"].asInt64() != 1 || (order.isMember("expected") && order["expected"].asInt64() != state.sequence)) {
+    if (order["epoch"].asInt64() != epoch_ || (order.isMember("expected") && order["expected"].asInt64() != state.sequence)) {
         return CONFLICT;
     }
     const int64_t version = order["version"].asInt64();
@@ -417,7 +599,7 @@
 std::vector<double> RankGroup::demand(int set) const
 {
     std::vector<double> share(static_cast<size_t>(options_.experts));
-    for (const auto &[topic, weight] : {std::pair(0U, 1 - TOPIC_SHARE), std::pair(topic_, TOPIC_SHARE)}) {
+    for (const auto &[topic, weight] : {std::pair(0U, 1 - options_.topicShare), std::pair(topic_, options_.topicShare)}) {
         std::minstd_rand order(topic * 31 + static_cast<unsigned>(set) + 1);
         std::vector<size_t> ranking(share.size());
         std::iota(ranking.begin(), ranking.end(), 0);
--- a/src/soak/internal/site.cpp
+++ b/src/soak/internal/site.cpp
@@ -3,6 +3,8 @@
 #include "soak/site.h"
 
 #include "framework/json.h"
+#include "platform/fleetcodec.h"
+#include "platform/standins/wireformat.h"
 #include "transport/httpserver.h"
 
 #include <algorithm>
@@ -19,6 +21,7 @@
 constexpr seconds GRACE{8};
 constexpr milliseconds DEADLINE{8'000};
 constexpr milliseconds LOSS_SLACK{200};
+constexpr milliseconds DEADLINE_MARGIN{100};
 /// An engine that still works in the last sixth of the grace period, on a request sent at most this long after SIGTERM, excuses a cut answer.
 constexpr seconds EXCUSED_AFTER_SIGTERM{3};
 constexpr milliseconds START_TIMEOUT{20'000};
@@ -27,6 +30,11 @@
 constexpr milliseconds DEMAND_INTERVAL{3'500};
 constexpr milliseconds WRITE_TIMEOUT{2'000};
 constexpr int MAX_ADDRESS_LIFETIMES = 3;
+/// Ports of the site's own protocols, from the first one on. Agents listen at the addresses of the engines.
+constexpr int PEER_PORTS = 16;
+constexpr int64_t MAX_IDLE_ROUTES = 20;
+/// Key under which a gateway says that it controls the maps.
+const std::string CONTROLLER_KEY = "daisymount/maps/controller";
 constexpr int MIN_TOKENS = 20;
 constexpr int MAX_TOKENS = 350;
 constexpr int MEAN_TOKENS = 140;
@@ -62,6 +70,26 @@
     return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+SiteOptions withProfile(SiteOptions options)
+{
+    if (options.profile == nullptr) {
+        return options;
+    }
+    const fleet::EngineProfile &engine = *options.profile->engines.engine;
+    options.gateways = options.profile->gateways;
+    options.group.ranks = options.profile->ranks;
+    options.group.sets = engine.experts->sets;
+    options.group.experts = engine.experts->experts;
+    options.group.slots = engine.slots;
+    options.group.queue = options.profile->queuePerEngine;
+    options.group.tokensPerEvent = engine.stepsPerPass;
+    options.group.copyTime = std::chrono::duration_cast<milliseconds>(engine.experts->copyTime);
+    options.group.timing = engine;
+    options.group.timeToFirstPass = options.profile->timeToFirstPass;
+    options.group.topicShare = options.profile->topicShare;
+    return options;
+}
+
 /// True if the body holds each event of a stream once and in order.
 bool hasAllEvents(const std::string &body, int events)
 {
@@ -75,16 +103,19 @@
 
 Site::Site(asio::io_context &reactor, const SiteOptions &options)
     : reactor_(reactor)
-    , options_(options)
+    , options_(withProfile(options))
     , random_(options.seed)
     , network_(freeNetwork())
     , store_(reactor.get_executor())
-    , group_(reactor.get_executor(), options.group, network_, options.seed)
+    , group_(reactor.get_executor(), options_.group, network_, options.seed)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-soak-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
     record_.open(folder_ / "record.txt");
     group_.onEvent = [this](const std::string &line) { record(line); };
+    group_.onLateArrival = [this](const std::string &id, Duration late) {
+        breakPromise(id + " reached a rank " + std::to_string(toMs(late)) + " ms after it had told of its leaving");
+    };
 }
 
 const Totals &Site::totals() const
@@ -97,6 +128,11 @@
     return group_;
 }
 
+Duration Site::latestArrival() const
+{
+    return plain_ ? std::max(plain_->latestArrival(), group_.latestArrival()) : group_.latestArrival();
+}
+
 const std::filesystem::path &Site::folder() const
 {
     return folder_;
@@ -115,13 +151,18 @@
 
 void Site::startProcesses()
 {
-    store_.put("op/config", CONFIG);
+    configure();
     for (int rank = 0; rank < options_.group.ranks; ++rank) {
         store_.put("servers/" + group_.id(rank), group_.registration(rank, "model", zoneOf(rank)));
     }
+    if (options_.profile != nullptr) {
+        startPlainService(network_);
+    }
     const std::string first = network_ + "101";
-    const SitePorts ports{freePort(reactor_, first), freePort(reactor_, first), freePort(reactor_, first), freePort(reactor_, first),
-                          freePort(reactor_, first)};
+    SitePorts ports{freePort(reactor_, first), freePort(reactor_, first), freePort(reactor_, first), freePort(reactor_, first), freePort(reactor_, first)};
+    while (group_.usesPort(ports.peer, ports.peer + PEER_PORTS)) {
+        ports.peer = freePort(reactor_, first);
+    }
     ProcessOptions common;
     common.store = store_.address();
     common.ports = ports;
@@ -187,9 +228,7 @@
             asio::co_spawn(self->reactor_, self->watchProcesses(), asio::detached);
             asio::co_spawn(self->reactor_, self->shiftDemand(), asio::detached);
             asio::co_spawn(self->reactor_, self->operate(self->options_.seed), asio::detached);
-            for (int i = 0; i < self->options_.callers; ++i) {
-                asio::co_spawn(self->reactor_, self->call(self->options_.seed * 1'000 + static_cast<unsigned>(i)), asio::detached);
-            }
+            self->startCallers();
             co_await transport::sleepFor(self->options_.duration + GRACE + DEADLINE);
             self->finished_ = true;
         }(this),
@@ -197,6 +236,7 @@
     while (!finished_) {
         reactor_.run_for(std::chrono::milliseconds{50});
     }
+    countLoggedCuts();
     if (group_.mixedPasses() > 0) {
         breakPromise(std::to_string(group_.mixedPasses()) + " passes began on different maps");
     }
@@ -208,6 +248,135 @@
     return broken_;
 }
 
+void Site::configure()
+{
+    if (options_.profile == nullptr) {
+        store_.put("op/config", CONFIG);
+        return;
+    }
+    fleet::FleetConfig config = options_.profile->config();
+    config.version = configVersion_;
+    // Routes without traffic that come and go with the versions.
+    for (int64_t i = 0; i < configVersion_ % MAX_IDLE_ROUTES; ++i) {
+        fleet::Route idle = config.routes.back();
+        idle.name = "idle" + std::to_string(i);
+        idle.prefix = "/idle" + std::to_string(i) + "/";
+        config.routes.push_back(idle);
+    }
+    store_.put(std::string(platform::CONFIG_KEY), platform::standins::encodeConfig(config));
+}
+
+void Site::startPlainService(const std::string &network)
+{
+    std::vector<std::string> ips;
+    for (int i = 0; i < options_.profile->plainUpstreams; ++i) {
+        ips.push_back(network + std::to_string(201 + i));
+    }
+    const Amount workMs = options_.profile->classes.back().workMs;
+    plain_ = std::make_unique<PlainService>(reactor_.get_executor(), options_.profile->plain.name, options_.profile->plainSlots, workMs, std::move(ips),
+                                            options_.seed);
+    plain_->onEvent = [this](const std::string &line) { record(line); };
+    plain_->onLateArrival = [this](const std::string &id, Duration late) {
+        breakPromise(id + " reached a plain upstream " + std::to_string(toMs(late)) + " ms after the store had acknowledged its leaving");
+    };
+    plain_->start([this](const std::string &id, const std::optional<fleet::Upstream> &registration) {
+        const std::string key = std::string(platform::UPSTREAM_PREFIX) + id;
+        registration ? store_.put(key, platform::standins::encodeUpstream(*registration)) : store_.remove(key);
+    });
+}
+
+void Site::startCallers()
+{
+    if (options_.profile == nullptr) {
+        for (int i = 0; i < options_.callers; ++i) {
+            asio::co_spawn(reactor_, call(options_.seed * 1'000 + static_cast<unsigned>(i)), asio::detached);
+        }
+        return;
+    }
+    const auto directories = [this](int zone) {
+        std::vector<std::string> sameZone;
+        std::vector<std::string> others;
+        for (size_t i = 0; i < gateways_.size(); ++i) {
+            (zoneOf(static_cast<int>(i)) == zoneOf(zone) ? sameZone : others).push_back(gateways_[i]->directoryAddress());
+        }
+        sameZone.insert(sameZone.end(), others.begin(), others.end());
+        return sameZone;
+    };
+    callers_ = std::make_unique<Callers>(reactor_.get_executor(), *options_.profile, options_.load, directories, options_.seed);
+    callers_->onAttempt = [this](const AttemptSeen &seen) { judge(seen); };
+    group_.eventsOf = [this](const std::string &id) { return callers_->eventsOf(id); };
+    callers_->start(end_);
+    asio::co_spawn(reactor_, operateUpstreams(options_.seed + 1), asio::detached);
+}
+
+asio::awaitable<void> Site::replacePlainUpstreams(milliseconds gap)
+{
+    for (size_t i = 0; i < plain_->size() && framework::monotonicNow() < end_; ++i) {
+        asio::co_spawn(reactor_, plain_->replace(i, group_.drainTime()), asio::detached);
+        co_await transport::sleepFor(gap);
+    }
+}
+
+asio::awaitable<void> Site::operateUpstreams(unsigned seed)
+{
+    std::minstd_rand random(seed);
+    while (framework::monotonicNow() < end_) {
+        co_await transport::sleepFor(milliseconds{1'000 + random() % 4'000});
+        switch (random() % 6) {
+        case 0:
+        case 1:
+            co_await replacePlainUpstreams(milliseconds{500 + random() % 5'000});
+            break;
+        case 2:
+            co_await group_.replace(static_cast<int>(random() % static_cast<unsigned>(options_.group.ranks)), [this](const std::string &id, bool registered) {
+                const std::string key = std::string(platform::UPSTREAM_PREFIX) + id;
+                const int rank = group_.rankOf(id);
+                registered ? store_.put(key, group_.registration(rank, options_.profile->engines.name, zoneOf(rank))) : store_.remove(key);
+            });
+            break;
+        default:
+            ++configVersion_;
+            configure();
+            record("configuration " + std::to_string(configVersion_));
+            break;
+        }
+    }
+}
+
+Process &Site::mapController()
+{
+    const std::string name = store_.get(CONTROLLER_KEY);
+    const auto found = std::ranges::find_if(gateways_, [&](const auto &gateway) { return gateway->name() == name; });
+    return found == gateways_.end() ? *gateways_.front() : **found;
+}
+
+std::string Site::logLines(const std::string &requestId) const
+{
+    std::string lines;
+    for (const auto &entry : std::filesystem::directory_iterator(folder_)) {
+        if (entry.path().extension() != ".log") {
+            continue;
+        }
+        std::ifstream log(entry.path());
+        for (std::string line; std::getline(log, line);) {
+            if (line.find("\"request\":\"" + requestId + "\"") != std::string::npos) {
+                lines += "\n    " + line;
+            }
+        }
+    }
+    return lines;
+}
+
+void Site::countLoggedCuts()
+{
+    for (const auto &entry : std::filesystem::directory_iterator(folder_)) {
+        std::ifstream log(entry.path());
+        for (std::string line; std::getline(log, line);) {
+            totals_.cutLogged += line.find("\"event\":\"cut\"") != std::string::npos ? 1 : 0;
+        }
+    }
+}
+
 asio::awaitable<void> Site::watchProcesses()
 {
     while (!finished_) {
@@ -238,6 +407,9 @@
     }
     ++restarting_;
     record("SIGTERM to " + process.name());
+    if (callers_ && !process.callerAddress().empty()) {
+        callers_->pursue(process.callerAddress(), framework::monotonicNow() + GRACE);
+    }
     process.signal(SIGTERM);
     const Instant limit = framework::monotonicNow() + GRACE;
     while (!process.ended() && framework::monotonicNow() < limit) {
@@ -281,7 +453,19 @@
     while (framework::monotonicNow() < end_) {
         co_await transport::sleepFor(milliseconds{1'000 + random() % 5'000});
         const milliseconds gap{300 + random() % 4'000};
-        switch (random() % 4) {
+        // Without a profile the series of earlier seeds stay as they were.
+        switch (random() % (options_.profile != nullptr ? 6 : 4)) {
+        case 4:
+            co_await restart(mapController());
+            break;
+        case 5:
+            // Half of the gateways at once.
+            {
+                std::vector<Process *> half = pick(gateways_, false);
+                half.resize(half.size() / 2);
+                co_await restartInTurn(half, milliseconds{1});
+            }
+            break;
         case 0:
             // Gateways only, in turn; with a short gap they drain side by side.
             co_await restartInTurn(pick(gateways_, random() % 2 == 0), gap);
@@ -354,7 +538,7 @@
         }
         const int tokens = std::min(MAX_TOKENS, MIN_TOKENS + static_cast<int>(length(random)));
         const std::string address = directory.addresses[random() % directory.addresses.size()];
-        const Exchange ended = co_await exchange(address, tokens / options_.group.tokensPerEvent, random() % 2 == 0);
+        const AttemptSeen ended = co_await exchange(address, tokens / options_.group.tokensPerEvent, random() % 2 == 0);
         judge(ended);
         if (ended.result.complete && ended.result.status == 200) {
             co_await transport::sleepFor(milliseconds{random() % 20});
@@ -367,22 +551,23 @@
     }
 }
 
-asio::awaitable<Site::Exchange> Site::exchange(const std::string &address, int events, bool chunkedBody)
+asio::awaitable<AttemptSeen> Site::exchange(const std::string &address, int events, bool chunkedBody)
 {
-    Exchange seen;
+    AttemptSeen seen;
     seen.id = "r" + std::to_string(++requests_);
-    seen.gateway = gatewayAt(address);
+    seen.gateway = address;
     seen.events = events;
     seen.sentAt = framework::monotonicNow();
+    seen.deadline = seen.sentAt + DEADLINE;
     const std::string head = "POST /draft/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + seen.id + "\r\nX-Model: m\r\nX-Token-Usage: 900,"
         + std::to_string(events * options_.group.tokensPerEvent) + "\r\nX-Prompt-Prefix: 3e9:40," + std::to_string(100'000 + requests_)
         + ":860\r\nX-Deadline-Ms: " + std::to_string(DEADLINE.count()) + "\r\n";
     const std::string bytes = head + (chunkedBody ? "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" : "Content-Length: 2\r\n\r\nhi");
     const auto endpoint = transport::parseEndpoint(address);
     const transport::ConnectionPtr connection = co_await transport::connectTo(reactor_.get_executor(), *endpoint, milliseconds{1'000});
+    seen.connected = connection != nullptr;
     if (!connection || !co_await connection->write(bytes, WRITE_TIMEOUT)) {
         seen.endedAt = framework::monotonicNow();
-        seen.gateway = connection ? seen.gateway : nullptr;
         co_return seen;
     }
     transport::HttpReader reader(transport::HttpReader::MessageType::Response, 1U << 16U, 1U << 26U);
@@ -394,52 +579,83 @@
         }
         co_await connection->waitForBytes(connection->receiveBuffer().size(), deadline);
     }
-    seen.end = connection->readEnd();
     seen.result = {reader.status(), reader.fields(), reader.body(), reader.done()};
     seen.endedAt = framework::monotonicNow();
     connection->close();
     co_return seen;
 }
 
-void Site::judge(const Exchange &seen)
+const UpstreamRun *Site::runOf(const std::string &requestId) const
+{
+    const UpstreamRun *run = group_.run(requestId);
+    return run == nullptr && plain_ ? plain_->run(requestId) : run;
+}
+
+void Site::judge(const AttemptSeen &seen)
 {
     const CallerResult &result = seen.result;
+    const UpstreamRun *run = runOf(seen.id);
+    const Process *gateway = gatewayAt(seen.gateway);
+    if (result.complete && gateway != nullptr && gateway->terminatedAt() != Instant{0} && result.status == 200) {
+        const Duration afterSignal = seen.endedAt - gateway->terminatedAt();
+        totals_.longestAfterSignal = std::max(totals_.longestAfterSignal, afterSignal);
+        if (seen.sentAt > gateway->terminatedAt() + EXCUSED_AFTER_SIGTERM) {
+            totals_.longestOfLate = std::max(totals_.longestOfLate, afterSignal);
+        }
+    }
     if (result.complete && result.status == 200) {
         ++totals_.answered;
-        if (result.field("X-Request-Id") != seen.id || !hasAllEvents(result.body, seen.events)) {
+        const bool wholeStream = seen.events == 0 || hasAllEvents(result.body, seen.events);
+        if (result.field("X-Request-Id") != seen.id || !wholeStream) {
             breakPromise(seen.id + " got a success that is not its own whole answer");
         }
         return;
     }
     if (result.complete) {
         ++(result.status == 503 ? totals_.refused : totals_.failed);
-        if (result.status == 503 && group_.run(seen.id) != nullptr && group_.run(seen.id)->finished) {
-            breakPromise(seen.id + " was refused although an engine has run it");
+        if (result.status == 503 && run != nullptr && run->finished) {
+            breakPromise(seen.id + " was refused although an upstream has run it");
         }
         return;
     }
-    const EngineRun *run = group_.run(seen.id);
+    if (seen.callerLeft) {
+        ++totals_.left;
+        return;
+    }
+    judgeCut(seen, run);
+}
+
+void Site::judgeCut(const AttemptSeen &seen, const UpstreamRun *run)
+{
+    const Process *gateway = gatewayAt(seen.gateway);
     const Duration lasted = seen.endedAt - seen.sentAt;
-    const Instant terminatedAt = seen.gateway != nullptr ? seen.gateway->terminatedAt() : Instant{0};
-    if (seen.gateway == nullptr || (run == nullptr && lasted <= LOSS_SLACK && result.status == 0)) {
+    if (!seen.connected || gateway == nullptr || (run == nullptr && lasted <= LOSS_SLACK && seen.result.status == 0)) {
         ++totals_.notRead;
         return;
     }
-    const bool atDeadline = lasted >= DEADLINE - milliseconds{100};
+    const Instant terminatedAt = gateway->terminatedAt();
+    // A gateway counts from the arrival of the request.
+    const bool atDeadline = seen.endedAt >= seen.deadline - DEADLINE_MARGIN;
     const bool sentEarly = terminatedAt != Instant{0} && seen.sentAt <= terminatedAt + EXCUSED_AFTER_SIGTERM;
     const bool workedOn = run != nullptr && run->lastEventAt >= terminatedAt + GRACE * 5 / 6;
-    const std::string text = seen.id + " of " + std::to_string(seen.events) + " events was cut by " + seen.gateway->name() + " after "
-        + std::to_string(toMs(lasted)) + " ms, "
+    const bool brokenOff = run != nullptr && run->brokenOff;
+    const std::string text = seen.id + " of " + std::to_string(seen.events) + " events was cut by " + gateway->name() + " after " + std::to_string(toMs(lasted))
+        + " ms, "
         + (terminatedAt == Instant{0} ? std::string("no SIGTERM")
                                       : "sent " + std::to_string(toMs(seen.sentAt - terminatedAt)) + " ms and ended "
                    + std::to_string(toMs(seen.endedAt - terminatedAt)) + " ms after SIGTERM")
-        + ", status " + std::to_string(result.status) + ", " + std::to_string(result.body.size()) + " bytes";
-    if (atDeadline || (sentEarly && workedOn)) {
+        + ", status " + std::to_string(seen.result.status) + ", " + std::to_string(seen.result.body.size()) + " bytes"
+        + (seen.onKeptConnection ? ", on a kept connection" : "")
+        + (run == nullptr      ? ", not passed on"
+               : run->finished ? ", run to its end"
+                               : "");
+    if (atDeadline || brokenOff || (sentEarly && workedOn)) {
         ++totals_.excused;
-        record("excused: " + text);
+        record("excused" + std::string(brokenOff ? ", the upstream broke off: " : ": ") + text);
         return;
     }
     breakPromise(text);
+    record("log of " + seen.id + ":" + logLines(seen.id));
 }
 
 } // namespace daisymount::soak
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -12,16 +12,24 @@
 using namespace daisymount;
 
 constexpr int EXIT_BROKEN = 1;
+constexpr int EXIT_USAGE = 2;
+
+int64_t toMs(framework::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
 
 constexpr const char *USAGE = R"(Runs a site of real processes on loopback under planned restarts and checks what callers were promised.
 
-Usage: daisymountsoak [--seed=N] [--seconds=S] [--gateways=N] [--callers=N] [--programs=FOLDER] [--keep]
+Usage: daisymountsoak [--seed=N] [--seconds=S] [--gateways=N] [--callers=N] [--profile=NAME] [--load=X] [--programs=FOLDER] [--keep]
 
 Options:
   --seed=N      seed of the operator and the callers [default: 1]
   --seconds=S   duration of the traffic in seconds [default: 60]
   --gateways=N  number of gateways [default: 6]
   --callers=N   number of callers, each with one request at a time [default: 90]
+  --profile=NAME  callers, engines and gateways of a deployment; without it each of --callers sends one stream after the other
+  --load=X      factor of the rates of the profile [default: 1.0]
   --programs=FOLDER  build folder with the programs to run instead of those beside this one
   --keep        keep the record and the logs also if no promise was broken
 )";
@@ -36,6 +44,14 @@
     options.duration = std::chrono::seconds{arguments["--seconds"].asLong()};
     options.gateways = static_cast<int>(arguments["--gateways"].asLong());
     options.callers = static_cast<int>(arguments["--callers"].asLong());
+    options.load = std::atof(arguments["--load"].asString().c_str());
+    if (arguments["--profile"]) {
+        options.profile = soak::findProfile(arguments["--profile"].asString());
+        if (options.profile == nullptr) {
+            std::cerr << "unknown profile; there are: " << soak::profileNames() << '\n';
+            return EXIT_USAGE;
+        }
+    }
     if (arguments["--programs"]) {
         options.gatewayProgram = arguments["--programs"].asString() + "/src/gateway/daisymountgateway";
         options.rankAgentProgram = arguments["--programs"].asString() + "/src/rankagent/daisymountrankagent";
@@ -46,8 +62,10 @@
     const std::vector<std::string> broken = site.run();
     const soak::Totals &totals = site.totals();
     std::cout << "seed " << options.seed << ": answered " << totals.answered << ", refused " << totals.refused << ", failed " << totals.failed << ", not read "
-              << totals.notRead << ", cut with an excuse " << totals.excused << "; " << site.group().switches() << " changes of the map, longest stand "
-              << std::chrono::duration_cast<std::chrono::milliseconds>(site.group().longestStand()).count() << " ms\n";
+              << totals.notRead << ", given up " << totals.left << ", cut with an excuse " << totals.excused << " (in logs " << totals.cutLogged
+              << "); longest answer after SIGTERM " << toMs(totals.longestAfterSignal) << " ms, of late requests " << toMs(totals.longestOfLate)
+              << " ms; latest arrival at a leaving upstream " << toMs(site.latestArrival()) << " ms; " << site.group().switches()
+              << " changes of the map, mean pass " << toMs(site.group().meanPass()) << " ms, longest stand " << toMs(site.group().longestStand()) << " ms\n";
     for (const std::string &line : broken) {
         std::cout << "  broken: " << line << '\n';
     }
--- a/src/soak/process.h
+++ b/src/soak/process.h
@@ -54,6 +54,8 @@
     const std::string &name() const;
     const std::string &ip() const;
     std::string directoryAddress() const;
+    /// Empty for a rank agent.
+    std::string callerAddress() const;
     /// When SIGTERM was last sent to the current process; 0 if it was not.
     framework::Instant terminatedAt() const;
     /// When the process was last started or terminated.
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "gateway/tests/storestandin.h"
+#include "soak/callers.h"
+#include "soak/plainservice.h"
 #include "soak/process.h"
 #include "soak/rankgroup.h"
 
@@ -22,6 +24,8 @@
     int callers = 90;
     milliseconds duration{60'000};
     RankGroupOptions group;
+    const TrafficProfile *profile = nullptr; ///< Sets gateways, callers and engines; null for callers that each send one stream after the other.
+    double load = 1.0; ///< Factor of the rates of the profile.
     std::string gatewayProgram = GATEWAY_PROGRAM;
     std::string rankAgentProgram = RANK_AGENT_PROGRAM;
 };
@@ -34,6 +38,10 @@
     int failed = 0; ///< Another failure that was delivered whole.
     int notRead = 0; ///< The connection was refused, or closed before the request was read.
     int excused = 0; ///< Cut, in a way that the promises allow.
+    int left = 0; ///< Given up by the caller.
+    int cutLogged = 0; ///< Responses that the gateways' logs say were cut.
+    Duration longestAfterSignal{0}; ///< Longest time from the SIGTERM of a gateway to the end of a complete answer of its.
+    Duration longestOfLate{0}; ///< The same for requests that were sent so late that no cut is excused.
 };
 
 /// All members run on one reactor. Must outlive it.
@@ -46,6 +54,8 @@
     std::vector<std::string> run();
     const Totals &totals() const;
     const RankGroup &group() const;
+    /// Latest arrival of a request at an upstream after the store had acknowledged its leaving.
+    Duration latestArrival() const;
     /// Folder with the logs of the processes and the record of the run.
     const std::filesystem::path &folder() const;
 
@@ -56,26 +66,26 @@
         Instant validUntil{0};
     };
 
-    /// One request as its caller saw it.
-    struct Exchange
-    {
-        std::string id;
-        Process *gateway = nullptr;
-        int events = 0;
-        Instant sentAt{0};
-        Instant endedAt{0};
-        gateway::tests::CallerResult result;
-        transport::ReadEnd end = transport::ReadEnd::Open;
-    };
-
     void startProcesses();
     asio::awaitable<bool> waitUntilReady();
     asio::awaitable<void> watchProcesses();
     asio::awaitable<void> call(unsigned seed);
     asio::awaitable<void> resolve(Directory &directory, std::minstd_rand &random);
-    asio::awaitable<Exchange> exchange(const std::string &address, int events, bool chunkedBody);
-    void judge(const Exchange &exchange);
+    asio::awaitable<AttemptSeen> exchange(const std::string &address, int events, bool chunkedBody);
+    void judge(const AttemptSeen &seen);
+    void judgeCut(const AttemptSeen &seen, const UpstreamRun *run);
+    const UpstreamRun *runOf(const std::string &requestId) const;
+    /// Lines of all logs that name a request.
+    std::string logLines(const std::string &requestId) const;
+    void countLoggedCuts();
+    void startCallers();
+    void startPlainService(const std::string &firstIp);
+    void configure();
     asio::awaitable<void> operate(unsigned seed);
+    asio::awaitable<void> operateUpstreams(unsigned seed);
+    asio::awaitable<void> replacePlainUpstreams(milliseconds gap);
+    /// The gateway that controls the maps, or the first one.
+    Process &mapController();
     asio::awaitable<void> shiftDemand();
     asio::awaitable<void> restart(Process &process);
     asio::awaitable<void> restartInTurn(std::vector<Process *> processes, milliseconds gap);
@@ -91,6 +101,9 @@
     std::ofstream record_;
     gateway::tests::FakeStore store_;
     RankGroup group_;
+    std::unique_ptr<PlainService> plain_; ///< Null without a profile.
+    std::unique_ptr<Callers> callers_; ///< Null without a profile.
+    int64_t configVersion_ = 1;
     std::vector<std::unique_ptr<Process>> gateways_;
     std::vector<std::unique_ptr<Process>> agents_;
     Instant begin_{0};
