gateway: a time without calls to the store is no outage

Callers saw requests at an upstream that had left. A gateway that relies on another one of its zone for the list of upstreams makes few calls to the store. When that one stops, the gateway becomes the first of its zone, for which a silence of 1.4 s counted as an outage, and its next answer as the store's return: upstreams that had left without a word were then kept for 2.2 s more, in which lapsed registrations may return. drain_ms is 2 s. Cause: the absence of own calls was taken for evidence about the store. An outage now counts from the first call that was not answered. Ruled out: a shorter grace, since registrations need it after a real outage; the same threshold for all gateways, which a paused process still exceeds. The test upstreamThatLeavesAsTheReaderOfTheZoneStopsIsNotKept failed before (the upstream was still in use 2 s after it had left) and holds; the other eight StoreSync tests hold.

--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -82,7 +82,7 @@
     }
     const bool answered = reply.status != 0 && reply.status != 429 && reply.status != 503;
     context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
-    recordStoreResponse(answered);
+    recordStoreResponse(answered, begin);
     co_return reply;
 }
 
@@ -102,12 +102,18 @@
                           {"own_pauses_ms", toMs(context_.loopPauses.within(begin, now))}}});
 }
 
-void StoreSync::recordStoreResponse(bool answered)
+void StoreSync::recordStoreResponse(bool answered, Instant askedAt)
 {
     const Instant now = framework::monotonicNow();
+    if (!answered && unansweredSince_ == Instant{0}) {
+        unansweredSince_ = askedAt;
+    }
+    // A gateway that relies on others makes few calls. Only calls that went unanswered show an outage.
+    const bool wasOut = unansweredSince_ != Instant{0} && now - unansweredSince_ > watchTimeout() + STORE_LOST_MARGIN;
     if (answered) {
-        const bool regained = lastResponseAt_ != Instant{0} && now - lastResponseAt_ > watchTimeout() + STORE_LOST_MARGIN;
+        const bool regained = lastResponseAt_ != Instant{0} && wasOut;
         lastResponseAt_ = now;
+        unansweredSince_ = Instant{0};
         if (!reachable_) {
             reachable_ = true;
             context_.log.report({"store", "store_regained", ResultCode::Ok, "", {{"config_revision", std::to_string(context_.view.configRevision())}}});
@@ -115,7 +121,7 @@
         if (regained) {
             context_.view.onStoreRegained(now);
         }
-    } else if (reachable_ && now - lastResponseAt_ > watchTimeout() + STORE_LOST_MARGIN) {
+    } else if (reachable_ && wasOut) {
         reachable_ = false;
         context_.log.report({"store", "store_lost", ResultCode::StoreDown, "", {{"last_answer_ms", std::to_string((now - lastResponseAt_).count() / 1000)}}});
     }
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -74,7 +74,8 @@
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
     void applyOperatorItem(const platform::StoreItem &item, bool deleted);
     void applyZones(int64_t revision);
-    void recordStoreResponse(bool answered);
+    /// Evaluates the end of a call that began at @p askedAt.
+    void recordStoreResponse(bool answered, Instant askedAt);
     /// Logs a call without a useful reply. @p target is "store" or the name of a peer.
     void reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin);
     void publishChange();
@@ -88,6 +89,7 @@
     bool wasStale_ = false; ///< Last state that reportStaleness() has logged.
     int64_t leaseId_ = 0; ///< 0 if not registered.
     Instant lastResponseAt_{0};
+    Instant unansweredSince_{0}; ///< When the first call that the store has not answered since lastResponseAt_ began; 0 if it answered all.
     Instant upstreamsUpdatedAt_{0}; ///< Last update from the store, or from the gateway that reads it for this zone.
     bool reachable_ = false;
 };
--- a/src/gateway/tests/storesync_tests.cpp
+++ b/src/gateway/tests/storesync_tests.cpp
@@ -48,6 +48,9 @@
     int watchesAnswered = 0;
     int ranges = 0;
     int registrations = 0;
+    std::vector<std::string> upstreams; ///< Items of the registered upstreams.
+    bool watchesWait = false; ///< Watches are answered when their wait ends, as by a store without changes.
+    framework::Instant answeredAt{0}; ///< When the last call was answered.
     std::deque<Behaviour> watches; ///< Behaviour of the next watches; Answer once empty.
     std::deque<Behaviour> leases;
 
@@ -66,6 +69,15 @@
         return itemOf("op/config", configOf(configVersion), revision);
     }
 
+    std::string upstreamItems() const
+    {
+        std::string items;
+        for (const std::string &item : upstreams) {
+            items += (items.empty() ? "" : ",") + item;
+        }
+        return items;
+    }
+
     asio::awaitable<void> serve(transport::ConnectionPtr connection, ReceivedRequest request)
     {
         const bool watch = request.target.starts_with("/-/kv-watch");
@@ -89,8 +101,12 @@
     asio::awaitable<void> answer(transport::ConnectionPtr connection, ReceivedRequest request)
     {
         const std::string now = std::to_string(revision);
-        if (request.target.starts_with("/-/kv-watch")) {
-            co_await transport::sleepFor(std::chrono::milliseconds{30});
+        const bool watch = request.target.starts_with("/-/kv-watch");
+        answeredAt = watch ? answeredAt : framework::monotonicNow();
+        if (watch) {
+            const int64_t wait = watchesWait ? std::stoll(transport::queryValue(request.target, "wait_ms")) : 30;
+            co_await transport::sleepFor(std::chrono::milliseconds{wait});
+            answeredAt = framework::monotonicNow();
             const int after = std::stoi(transport::queryValue(request.target, "after"));
             const std::string events = after < revision ? config() : "";
             ++watchesAnswered;
@@ -98,6 +114,8 @@
         } else if (request.target.starts_with("/-/kv-range?prefix=op/")) {
             ++ranges;
             co_await send(connection, reply(200, R"({"items":[)" + config() + R"(],"has_more":false,"store_revision":)" + now + "}"));
+        } else if (request.target.starts_with("/-/kv-range?prefix=servers/")) {
+            co_await send(connection, reply(200, R"({"items":[)" + upstreamItems() + R"(],"has_more":false,"store_revision":)" + now + "}"));
         } else if (request.target.starts_with("/-/kv-range")) {
             co_await send(connection, reply(200, R"({"items":[],"has_more":false,"store_revision":)" + now + "}"));
         } else if (request.target == "/-/kv-lease") {
@@ -302,3 +320,53 @@
         std::chrono::seconds{3});
     LONGS_EQUAL(9, fixture.version());
 }
+
+// Guards against requests to an upstream that has left, since a gateway takes a time without calls of its own for an outage of the store.
+TEST(StoreSync, upstreamThatLeavesAsTheReaderOfTheZoneStopsIsNotKept)
+{
+    const std::string upstream = R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0,"born":1})";
+    GatewayContext &context = fixture.world.context;
+    static peers::FleetSnapshot snapshot;
+    snapshot.upstreams = {{{"u", upstream, 9}}, 10};
+    static auto &reader
+        = *new ScriptedUpstream(fixture.world.reactor.get_executor(), [](transport::ConnectionPtr connection, ReceivedRequest) -> asio::awaitable<void> {
+              co_await send(connection, reply(200, peers::encodeSnapshot(snapshot)));
+          });
+    const std::string address = reader.address();
+    context.settings.firstPeerPort = static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    context.peers.self().name = "gateway";
+    context.peers.self().zone = context.settings.zone;
+    peers::Peer peer;
+    peer.name = "a";
+    peer.zone = context.settings.zone;
+    peer.ip = "127.0.0.1";
+    peer.serving = true;
+    peer.storeReadAge = framework::milliseconds{0};
+    const auto hearReader = [&] {
+        peer.revisions = context.peers.self().revisions;
+        peer.confirmedRevision = fixture.store.revision;
+        const framework::Instant now = framework::monotonicNow();
+        context.peers.onHeartbeat({peer, {}}, now);
+        context.currency.onPeerReport(peer.keyReport(), now, now);
+    };
+    fixture.store.upstreams = {itemOf("servers/u", upstream, 9)};
+    fixture.store.watchesWait = true;
+    hearReader();
+    fixture.sync->start();
+    const auto storeSilent = [&] { return framework::monotonicNow() - fixture.store.answeredAt > std::chrono::milliseconds{1'700}; };
+    fixture.world.runUntil(
+        [&] {
+            hearReader();
+            return context.view.upstreams().contains("u") && storeSilent();
+        },
+        std::chrono::seconds{20});
+    CHECK_TRUE(storeSilent());
+    CHECK(context.view.upstreams().contains("u"));
+
+    fixture.store.upstreams.clear();
+    fixture.store.revision = 20;
+    peer.serving = false;
+    hearReader();
+    fixture.world.runUntil([&] { return !context.view.upstreams().contains("u"); }, context.settings.bounds.drain);
+    CHECK_FALSE(context.view.upstreams().contains("u"));
+}
