soak: bursts of callers, registrations that expire after their successor's

Change: the rate rises to 1.5 to 3.4 times for 2 to 6 s; half of the plain upstreams that drain keep their entry for 2.6 s after their successor has registered.

--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -50,6 +50,8 @@
 
     /// Sends requests until @p end.
     void start(Instant end);
+    /// Multiplies the rate of requests by @p factor for @p duration.
+    void burst(double factor, milliseconds duration);
     /// Opens connections to a gateway and sends requests on them until @p end or until the last one is closed, whatever the directory says.
     void pursue(const std::string &address, Instant end);
     /// Length of the answer to a request that is under way, in events; empty for an unknown one.
@@ -105,6 +107,8 @@
     std::vector<std::vector<std::shared_ptr<Caller>>> callers_; ///< By zone.
     std::map<std::string, int> events_; ///< By request id.
     int64_t requests_ = 0;
+    double burstFactor_ = 1.0;
+    Instant burstEnd_{0};
 };
 
 } // namespace daisymount::soak
--- a/src/soak/internal/callers.cpp
+++ b/src/soak/internal/callers.cpp
@@ -112,7 +112,8 @@
     std::exponential_distribution<double> pause(perSecond);
     Instant next = framework::monotonicNow();
     while (next < end) {
-        next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(random_)));
+        const double factor = next < burstEnd_ ? burstFactor_ : 1.0;
+        next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(random_) / factor));
         co_await transport::sleepFor(next - framework::monotonicNow());
         const auto &callers = callers_[static_cast<size_t>(zone)];
         asio::co_spawn(executor_, request(callers[random_() % callers.size()], drawRequest()), asio::detached);
@@ -142,6 +143,12 @@
     }
 }
 
+void Callers::burst(double factor, milliseconds duration)
+{
+    burstFactor_ = factor;
+    burstEnd_ = framework::monotonicNow() + duration;
+}
+
 void Callers::pursue(const std::string &address, Instant end)
 {
     asio::co_spawn(executor_, keepSending(address, end), asio::detached);
--- a/src/soak/internal/plainservice.cpp
+++ b/src/soak/internal/plainservice.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds MIN_LINGER{200};
 constexpr int LINGER_SPREAD_MS = 3'000;
 constexpr milliseconds DOWN_TIME{1'000};
+constexpr milliseconds EXPIRY{2'600};
 /// One in so many upstreams leaves without a word: its registration is removed.
 constexpr int SILENT_LEAVE_INTERVAL = 3;
 constexpr size_t ANSWER_BYTES = 800;
@@ -101,13 +102,21 @@
         }
     }
     member.connections.clear();
-    register_(id, std::nullopt);
+    // The registration of an upstream that ended without a word of its end expires later than its successor registers.
+    const bool expires = !silent && random_() % 2 == 0;
+    if (!expires) {
+        register_(id, std::nullopt);
+    }
     onEvent(id + " has ended");
     co_await transport::sleepFor(DOWN_TIME);
     beginIncarnation(member, number);
     listen(member, port);
     register_(member.registration.id, member.registration);
     onEvent(member.registration.id + " has started at the address of " + id);
+    if (expires) {
+        co_await transport::sleepFor(EXPIRY);
+        register_(id, std::nullopt);
+    }
     member.replacing = false;
 }
 
--- a/src/soak/internal/site.cpp
+++ b/src/soak/internal/site.cpp
@@ -322,7 +322,12 @@
     std::minstd_rand random(seed);
     while (framework::monotonicNow() < end_) {
         co_await transport::sleepFor(milliseconds{1'000 + random() % 4'000});
-        switch (random() % 6) {
+        switch (random() % 9) {
+        case 3:
+        case 4:
+        case 5:
+            callers_->burst(1.5 + static_cast<double>(random() % 20) / 10.0, milliseconds{2'000 + random() % 4'000});
+            break;
         case 0:
         case 1:
             co_await replacePlainUpstreams(milliseconds{500 + random() % 5'000});
