dispatch: a gateway that shuts down passes late streams on only if they must end in time

Callers saw streams cut around the SIGTERM of the gateway that took them. Such a gateway passed a stream on if 1.25 times the longest of the last half minute fits into what is left of its grace. Load moves to the other gateways just then, callers come back, demand shifts: passes get slower than all before, and the stream is open at the exit. Cause: a promise made from a recent maximum. Class: a prediction from calm time decides what cannot be taken back. Change: addresses may be cached for a ninth of the grace (0.89 s of 8 s; 1.5 s before), so callers come within the first third of it and have the rest. After that a stream is passed on only by its deadline or by the longest answer that it states, with each pass as long as the longest pause with which it is on time and a first event as late as its caller waits. A drained gateway exits from 3.2 s after the signal instead of 5.0 s, so it is back sooner. Ruled out: a larger factor, which refuses early streams too and still bounds nothing; a later exit, since the grace is the operators'.

--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -24,6 +24,8 @@
     framework::Instant deadline{0};
     std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
     int64_t statedTokens = 0; ///< Longest answer that the request allows, 0 if it does not state one.
+    bool isStream = false;
+    std::optional<framework::Duration> longest = std::nullopt; ///< Longest time that a stream may take while its caller waits for it.
 };
 
 /// What is known of a stream before it begins.
@@ -34,11 +36,16 @@
     std::optional<framework::Duration> passTime = std::nullopt; ///< Of the most recent passes.
     framework::Duration pauseObjective{0}; ///< Longest pause between events with which the stream is on time, 0 if there is no objective.
     framework::Duration timeToFirstEvent{0};
+    framework::Duration patience{0}; ///< Time without an event after which the caller leaves.
 };
 
 /// Upper bound on the duration of a stream, each of whose events takes a pass; empty if the time of a pass is unknown.
 std::optional<framework::Duration> longestStream(const StreamLength &stream);
 
+/// Bound on the duration of a stream whose caller waits for the first event as long as it does, and whose passes take the longest pause with which
+/// it is on time, or longer if the group's passes do; empty if neither is known.
+std::optional<framework::Duration> slowestStream(const StreamLength &stream);
+
 class CompletionTimes
 {
 public:
@@ -54,6 +61,9 @@
     std::optional<framework::Duration> needed(const RequestLength &request, framework::Instant now) const;
     /// True if a request that is passed on now can end before @p end: by needed() or, if nothing is known, by its deadline.
     bool canEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
+    /// True if a request that is passed on now ends before @p end even if it is slower than all recent ones: a stream by its deadline or by the longest
+    /// time that it may take.
+    bool mustEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
 
 private:
     /// Requests that ended within a period.
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -122,17 +122,45 @@
     return duration && now + *duration <= end;
 }
 
-std::optional<Duration> longestStream(const StreamLength &stream)
+bool CompletionTimes::mustEndBefore(Instant end, const RequestLength &request, Instant now) const
+{
+    if (request.deadline <= end) {
+        return true;
+    }
+    if (!request.isStream) {
+        return canEndBefore(end, request, now);
+    }
+    return request.longest && now + std::max(*request.longest, needed(request, now).value_or(Duration{0})) <= end;
+}
+
+namespace
+{
+int64_t passesOf(const StreamLength &stream)
 {
     const int tokensPerPass = std::max(1, stream.tokensPerPass);
-    const int64_t passes = (stream.maxTokens + tokensPerPass - 1) / tokensPerPass;
+    return (stream.maxTokens + tokensPerPass - 1) / tokensPerPass;
+}
+} // namespace
+
+std::optional<Duration> longestStream(const StreamLength &stream)
+{
     const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
     // Passes are fast while callers are away, for example because all gateways restart, and slow down as they come back.
     const Duration pause = std::max(observed, stream.pauseObjective * MEAN_PAUSE_NUMERATOR / MEAN_PAUSE_DENOMINATOR);
     if (pause == Duration{0}) {
         return std::nullopt;
     }
-    return stream.timeToFirstEvent + passes * pause;
+    return stream.timeToFirstEvent + passesOf(stream) * pause;
+}
+
+std::optional<Duration> slowestStream(const StreamLength &stream)
+{
+    const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
+    const Duration pause = std::max(observed, stream.pauseObjective);
+    if (pause == Duration{0}) {
+        return std::nullopt;
+    }
+    return stream.patience + passesOf(stream) * pause;
 }
 
 } // namespace daisymount::dispatch
--- a/src/dispatch/tests/completiontimes_tests.cpp
+++ b/src/dispatch/tests/completiontimes_tests.cpp
@@ -187,3 +187,58 @@
     const StreamLength slow{140, 5, milliseconds{160}, milliseconds{120}, milliseconds{400}};
     CHECK(*longestStream(slow) == Duration{milliseconds{400 + 28 * 200}});
 }
+
+// Guards against a stream that a gateway passes on late in its grace period and cuts, since the passes get slower than in the last half minute.
+TEST(CompletionTimes, lateStreamIsNotCutByPassesThatBecomeSlower)
+{
+    // All streams so far took 30 ms a pass. From the shutdown on, passes take up to the longest pause with which a stream is on time.
+    const auto at = [](int64_t ms) { return Instant{milliseconds{ms}}; };
+    std::mt19937_64 random(1);
+    int passedOn = 0;
+    int cut = 0;
+    for (int play = 0; play < 200; ++play) {
+        CompletionTimes seen;
+        int64_t ms = 100'000;
+        for (; ms < 120'000; ms += 25) {
+            const auto events = static_cast<int64_t>(1 + random() % 60);
+            seen.onSent("a", at(ms));
+            seen.onEnded({.route = "a", .deadline = at(ms + 8'000), .statedTokens = 240}, at(ms), true, at(ms + 150 + events * 30));
+        }
+        const Instant exit = at(ms + 4'800);
+        const auto passMs = static_cast<int64_t>(30 + random() % 91);
+        for (; at(ms) < exit; ms += 25) {
+            const auto events = static_cast<int64_t>(1 + random() % 60);
+            const int64_t statedTokens = play % 2 == 0 ? 240 : events * 4;
+            const StreamLength stream{.maxTokens = statedTokens,
+                                      .tokensPerPass = 4,
+                                      .passTime = milliseconds{30},
+                                      .pauseObjective = milliseconds{120},
+                                      .timeToFirstEvent = milliseconds{500},
+                                      .patience = milliseconds{2'000}};
+            const RequestLength request{.route = "a",
+                                        .deadline = at(ms + 8'000),
+                                        .stated = longestStream(stream),
+                                        .statedTokens = statedTokens,
+                                        .isStream = true,
+                                        .longest = slowestStream(stream)};
+            if (seen.mustEndBefore(exit, request, at(ms))) {
+                ++passedOn;
+                cut += at(ms + 150 + events * passMs) > exit ? 1 : 0;
+            }
+        }
+    }
+    LONGS_EQUAL(0, cut);
+    CHECK(passedOn > 0);
+}
+
+TEST(CompletionTimes, lateStreamThatStatesNoLengthIsPassedOnOnlyByItsDeadline)
+{
+    playMany("a", milliseconds{100});
+    now += seconds{16};
+    playMany("a", milliseconds{100});
+    RequestLength request{.route = "a", .deadline = now + seconds{8}, .isStream = true};
+    CHECK(times.canEndBefore(now + seconds{4}, request, now));
+    CHECK_FALSE(times.mustEndBefore(now + seconds{4}, request, now));
+    request.deadline = now + seconds{3};
+    CHECK(times.mustEndBefore(now + seconds{4}, request, now));
+}
--- a/src/fleet/nodesettings.h
+++ b/src/fleet/nodesettings.h
@@ -4,6 +4,7 @@
 
 #include "framework/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -32,6 +33,21 @@
     milliseconds passPause{120}; ///< A stream counts as late if an event is forwarded after a longer delay.
     milliseconds addressTtlMax{5'000};
 
+    /// Time for which callers may cache the address of a gateway. Some cache it MAX_ADDRESS_LIFETIMES times as long, so that the requests of all callers
+    /// come within the first third of the grace period and have the rest of it to end.
+    milliseconds addressTtl() const
+    {
+        return std::min(addressTtlMax, grace / (3 * MAX_ADDRESS_LIFETIMES));
+    }
+
+    /// Time after SIGTERM in which callers may still come with a cached address.
+    milliseconds addressExpiry() const
+    {
+        return addressTtl() * MAX_ADDRESS_LIFETIMES;
+    }
+
+    static constexpr int MAX_ADDRESS_LIFETIMES = 3;
+
     /// Longest time for which a gateway may use a configuration without evidence that there is no newer one.
     milliseconds maxConfigAge() const
     {
--- a/src/gateway/internal/exchangedrain.cpp
+++ b/src/gateway/internal/exchangedrain.cpp
@@ -32,12 +32,19 @@
 dispatch::RequestLength Exchange::length(Instant now) const
 {
     const fleet::Route &route = *match_.route;
-    dispatch::RequestLength request{route.name, deadline_, std::nullopt, request_.headers.maxAnswerTokens};
+    dispatch::RequestLength request{.route = route.name, .deadline = deadline_, .statedTokens = request_.headers.maxAnswerTokens};
+    request.isStream = route.kind == fleet::RequestKind::Stream;
     const auto service = match_.config->services.find(service_);
     if (route.kind == fleet::RequestKind::Stream && request.statedTokens > 0 && service != match_.config->services.end() && service->second.engine) {
         const std::optional<Duration> passTime = context_.passTimeTracker.passTime(group_.empty() ? service_ : group_, context_.listeningTime(now));
-        request.stated
-            = dispatch::longestStream({request.statedTokens, service->second.engine->stepsPerPass, passTime, route.pauseObjective, route.latencyObjective});
+        const dispatch::StreamLength stream{.maxTokens = request.statedTokens,
+                                            .tokensPerPass = service->second.engine->stepsPerPass,
+                                            .passTime = passTime,
+                                            .pauseObjective = route.pauseObjective,
+                                            .timeToFirstEvent = route.latencyObjective,
+                                            .patience = streamPatience()};
+        request.stated = dispatch::longestStream(stream);
+        request.longest = dispatch::slowestStream(stream);
     }
     return request;
 }
@@ -48,7 +55,12 @@
         return std::nullopt;
     }
     const dispatch::RequestLength request = length(now);
-    if (context_.completionTimes.canEndBefore(context_.exitAt, request, now)) {
+    // While callers still come with a cached address, most of the grace is left and the usual estimate will do. Those that come later lose little by a
+    // refusal, since others serve, but the whole answer by a wrong estimate.
+    const bool isLate = now - context_.drainingSince > context_.settings.bounds.addressExpiry();
+    const bool passOn
+        = isLate ? context_.completionTimes.mustEndBefore(context_.exitAt, request, now) : context_.completionTimes.canEndBefore(context_.exitAt, request, now);
+    if (passOn) {
         return std::nullopt;
     }
     ++context_.drainTally.refused;
@@ -59,7 +71,9 @@
                          "refused",
                          ResultCode::Draining,
                          request_.headers.requestId,
-                         {{"needed_ms", durationText(needed)},
+                         {{"rule", isLate ? "must_end" : "can_end"},
+                          {"needed_ms", durationText(needed)},
+                          {"longest_ms", durationText(request.longest)},
                           {"left_ms", durationText(context_.exitAt - now)},
                           {"serving_others", std::to_string(others)},
                           {"retry_after_ms", std::to_string(delay.count())}}});
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -19,16 +19,13 @@
 namespace asio = transport::asio;
 using framework::ResultCode;
 
-/// Time for which callers may cache an address. It is short because some callers cache it three times as long, and a draining gateway has to
-/// keep serving for that time within its grace period.
-constexpr milliseconds ADDRESS_TTL{1'500};
 constexpr size_t MAX_ADDRESSES = 64;
 constexpr milliseconds HOUSEKEEPING_INTERVAL{250};
 constexpr milliseconds SETTINGS_POLL_INTERVAL{2'000};
 /// Draining ends this long before the grace period does, so that the last responses are transmitted before SIGKILL.
 constexpr milliseconds EXIT_MARGIN{500};
-/// A draining gateway keeps serving for this multiple of the TTL, since callers may still have its address cached.
-constexpr int ADDRESS_TTL_MULTIPLE = 3;
+/// Callers with a cached address connect within this time after it has expired.
+constexpr milliseconds LAST_CONNECT_TIME{500};
 constexpr milliseconds DRAIN_POLL_INTERVAL{50};
 /// Time for the last log lines. Most of EXIT_MARGIN stays for the responses.
 constexpr milliseconds FINAL_FLUSH_TIME{100};
@@ -263,8 +260,7 @@
     if (sameZone.empty()) {
         return {503, "application/json", "{}"};
     }
-    const milliseconds ttl = std::min(ADDRESS_TTL, context_.settings.bounds.addressTtlMax);
-    return {200, "application/json", platform::directoryResponse(sameZone, ttl)};
+    return {200, "application/json", platform::directoryResponse(sameZone, context_.settings.bounds.addressTtl())};
 }
 
 void Gateway::reload()
@@ -297,7 +293,7 @@
 
 asio::awaitable<void> Gateway::drain()
 {
-    const Instant addressesExpireAt = context_.drainingSince + ADDRESS_TTL_MULTIPLE * ADDRESS_TTL + milliseconds{500};
+    const Instant addressesExpireAt = context_.drainingSince + context_.settings.bounds.addressExpiry() + LAST_CONNECT_TIME;
     transport::spawnTask(context_.executor, "unregister", storeSync_.unregister());
     while (framework::monotonicNow() < context_.exitAt) {
         co_await transport::sleepFor(DRAIN_POLL_INTERVAL);
