dispatch: an upstream whose leaving is known gets nothing more, also from a request that had chosen it

The last check before a send looked at what the upstream itself had told, not at its registration: a list that arrived while the connection was being opened (up to 350 ms) came too late. Upstreams that were kept during a grace stayed in use until the next list, since their expiry was not published. The age of a list counted from the end of its read, not from the question. Change: the check asks whether the upstream is still usable; an expiry is published; the age counts from the call. The test upstreamWhoseRegistrationEndsAfterItWasChosenAcceptsNoRequest failed before. The other two have no test of their own.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -356,10 +356,10 @@
 {
     const auto found = states_.find(upstream);
     if (found == states_.end()) {
-        return true;
+        return false;
     }
     const State &state = found->second;
-    return now >= state.pausedUntil && !notices_.isLeaving(upstream, state.upstream.bornMs);
+    return state.usable && now >= state.pausedUntil && !notices_.isLeaving(upstream, state.upstream.bornMs);
 }
 
 bool Dispatcher::isServing(std::string_view upstream, int64_t bornMs) const
--- a/src/dispatch/tests/upstreamnotices_tests.cpp
+++ b/src/dispatch/tests/upstreamnotices_tests.cpp
@@ -94,6 +94,17 @@
     CHECK(entry.dispatcher.acceptsRequests("u1", now));
 }
 
+// Guards against a request that is sent to an upstream whose leaving became known while its connection was being opened.
+TEST(UpstreamNotices, upstreamWhoseRegistrationEndsAfterItWasChosenAcceptsNoRequest)
+{
+    entry.fleet({{"u1", "1", 0}}, now);
+    STRCMP_EQUAL("u1", entry.place(now).c_str());
+    entry.dispatcher.onSent("u1", now);
+    CHECK(entry.dispatcher.acceptsRequests("u1", now));
+    entry.fleet({{"u2", "1", 0}}, now);
+    CHECK_FALSE(entry.dispatcher.acceptsRequests("u1", now));
+}
+
 TEST(UpstreamNotices, noticesFromOtherEntriesAreApplied)
 {
     entry.fleet({{"u1", "1", 0}}, now);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -101,12 +101,12 @@
     lapsedGraceUntil_ = now + LAPSED_GRACE;
 }
 
-void FleetView::expire(Instant now)
+bool FleetView::expire(Instant now)
 {
     if (lapsedGraceUntil_ == Instant{0} || now < lapsedGraceUntil_) {
-        return;
+        return false;
     }
-    std::erase_if(upstreams_, [](const auto &entry) { return entry.second.missingSince != Instant{0}; });
+    return std::erase_if(upstreams_, [](const auto &entry) { return entry.second.missingSince != Instant{0}; }) > 0;
 }
 
 bool FleetView::hasConfig() const
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -160,6 +160,7 @@
 
 asio::awaitable<bool> StoreSync::readUpstreams()
 {
+    const Instant askedAt = framework::monotonicNow();
     platform::StorePage page;
     if (!co_await readRange(std::string(platform::UPSTREAM_PREFIX), ReadConsistency::Linearizable, page)) {
         co_return false;
@@ -169,8 +170,8 @@
     for (platform::StoreItem &item : page.items) {
         snapshot.items.push_back({item.key.substr(platform::UPSTREAM_PREFIX.size()), std::move(item.value), item.revision});
     }
-    context_.upstreamsReadAt = framework::monotonicNow();
-    context_.view.applyUpstreams(snapshot, context_.upstreamsReadAt);
+    context_.upstreamsReadAt = askedAt;
+    context_.view.applyUpstreams(snapshot, framework::monotonicNow());
     publishChange();
     co_return true;
 }
@@ -198,7 +199,9 @@
         while (framework::monotonicNow() < next && expedite == context_.fastUpstreamPolling) {
             co_await transport::sleepFor(UPSTREAMS_WANTED_POLL_INTERVAL);
         }
-        context_.view.expire(framework::monotonicNow());
+        if (context_.view.expire(framework::monotonicNow())) {
+            onChange_();
+        }
     }
 }
 
