--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -25,7 +25,7 @@
     std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
     int64_t statedTokens = 0; ///< Longest answer that the request allows, 0 if it does not state one.
     bool isStream = false;
-    std::optional<framework::Duration> longest = std::nullopt; ///< Longest time that a stream may take while its caller waits for it.
+    std::optional<framework::Duration> slowest = std::nullopt; ///< Time that a stream takes whose passes are as slow as its objective allows.
 };
 
 /// What is known of a stream before it begins.
@@ -43,7 +43,7 @@
 std::optional<framework::Duration> longestStream(const StreamLength &stream);
 
 /// Bound on the duration of a stream whose caller waits for the first event as long as it does, and whose passes take the longest pause with which
-/// it is on time, or longer if the group's passes do; empty if neither is known.
+/// it is on time, or longer if the group's passes do; empty if it has no objective.
 std::optional<framework::Duration> slowestStream(const StreamLength &stream);
 
 class CompletionTimes
--- a/src/dispatch/internal/completiontimes.cpp
+++ b/src/dispatch/internal/completiontimes.cpp
@@ -130,7 +130,7 @@
     if (!request.isStream) {
         return canEndBefore(end, request, now);
     }
-    return request.longest && now + std::max(*request.longest, needed(request, now).value_or(Duration{0})) <= end;
+    return request.slowest && now + std::max(*request.slowest, needed(request, now).value_or(Duration{0})) <= end;
 }
 
 namespace
@@ -155,12 +155,12 @@
 
 std::optional<Duration> slowestStream(const StreamLength &stream)
 {
-    const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
-    const Duration pause = std::max(observed, stream.pauseObjective);
-    if (pause == Duration{0}) {
+    // A prediction from the passes of the moment alone is no bound.
+    if (stream.pauseObjective == Duration{0}) {
         return std::nullopt;
     }
-    return stream.patience + passesOf(stream) * pause;
+    const auto observed = std::chrono::duration_cast<Duration>(stream.passTime.value_or(Duration{0}) * SPREAD);
+    return stream.patience + passesOf(stream) * std::max(observed, stream.pauseObjective);
 }
 
 } // namespace daisymount::dispatch
--- a/src/dispatch/tests/completiontimes_tests.cpp
+++ b/src/dispatch/tests/completiontimes_tests.cpp
@@ -220,7 +220,7 @@
                                         .stated = longestStream(stream),
                                         .statedTokens = statedTokens,
                                         .isStream = true,
-                                        .longest = slowestStream(stream)};
+                                        .slowest = slowestStream(stream)};
             if (seen.mustEndBefore(exit, request, at(ms))) {
                 ++passedOn;
                 cut += at(ms + 150 + events * passMs) > exit ? 1 : 0;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -73,6 +73,7 @@
     std::set<crashattribution::Fingerprint> trials; ///< Suspects that this gateway is trying at an upstream.
     bool draining = false; ///< Set by SIGTERM: the gateway reports not ready and closes each connection after its response.
     Instant drainingSince{0};
+    Instant callersGoneAt = Instant::max(); ///< When callers have given up their cached addresses of this gateway.
     Instant exitAt = Instant::max(); ///< When responses that are not complete are cut off.
     Instant upstreamsReadAt{0}; ///< When this gateway last read the upstreams from the store, not from another gateway.
     bool fastUpstreamPolling = false; ///< Set while a group lacks a rank: the store is polled at shorter intervals for its new registration.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -141,7 +141,7 @@
     ResultCode lastCode = ResultCode::NoUpstream;
     milliseconds minRetryAfter{0};
     while (true) {
-        const Instant now = framework::monotonicNow();
+        Instant now = framework::monotonicNow();
         if (callerDisconnected_) {
             last = AttemptOutcome::CallerGone;
             break;
@@ -163,6 +163,7 @@
             minRetryAfter = *trialDelay;
             break;
         }
+        now = framework::monotonicNow();
         // Draining may have begun while the request waited or was tried. A stream under way is continued for as long as possible.
         const std::optional<milliseconds> delayBeforeExit = mayHaveRun_ || relay_.started() ? std::nullopt : retryDelayBeforeExit(now);
         if (delayBeforeExit) {
--- a/src/gateway/internal/exchangedrain.cpp
+++ b/src/gateway/internal/exchangedrain.cpp
@@ -44,7 +44,7 @@
                                             .timeToFirstEvent = route.latencyObjective,
                                             .patience = streamPatience()};
         request.stated = dispatch::longestStream(stream);
-        request.longest = dispatch::slowestStream(stream);
+        request.slowest = dispatch::slowestStream(stream);
     }
     return request;
 }
@@ -57,7 +57,7 @@
     const dispatch::RequestLength request = length(now);
     // While callers still come with a cached address, most of the grace is left and the usual estimate will do. Those that come later lose little by a
     // refusal, since others serve, but the whole answer by a wrong estimate.
-    const bool isLate = now - context_.drainingSince > context_.settings.bounds.addressExpiry();
+    const bool isLate = now > context_.callersGoneAt;
     const bool passOn
         = isLate ? context_.completionTimes.mustEndBefore(context_.exitAt, request, now) : context_.completionTimes.canEndBefore(context_.exitAt, request, now);
     if (passOn) {
@@ -73,7 +73,7 @@
                          request_.headers.requestId,
                          {{"rule", isLate ? "must_end" : "can_end"},
                           {"needed_ms", durationText(needed)},
-                          {"longest_ms", durationText(request.longest)},
+                          {"slowest_ms", durationText(request.slowest)},
                           {"left_ms", durationText(context_.exitAt - now)},
                           {"serving_others", std::to_string(others)},
                           {"retry_after_ms", std::to_string(delay.count())}}});
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -280,6 +280,7 @@
 {
     context_.draining = true;
     context_.drainingSince = framework::monotonicNow();
+    context_.callersGoneAt = context_.drainingSince + context_.settings.bounds.addressExpiry();
     context_.exitAt = context_.drainingSince + context_.settings.bounds.grace - EXIT_MARGIN;
     context_.log.report({"process",
                          "draining",
@@ -293,12 +294,12 @@
 
 asio::awaitable<void> Gateway::drain()
 {
-    const Instant addressesExpireAt = context_.drainingSince + context_.settings.bounds.addressExpiry() + LAST_CONNECT_TIME;
+    const Instant stopListeningAt = context_.callersGoneAt + LAST_CONNECT_TIME;
     transport::spawnTask(context_.executor, "unregister", storeSync_.unregister());
     while (framework::monotonicNow() < context_.exitAt) {
         co_await transport::sleepFor(DRAIN_POLL_INTERVAL);
         const Instant now = framework::monotonicNow();
-        if (now <= addressesExpireAt) {
+        if (now <= stopListeningAt) {
             continue;
         }
         // Connections that the kernel had accepted have been taken over by now; later ones are refused before a request is sent.
