gateway: requests that arrive while the process is paused until its exit are answered

Cause: the timer of the exit is handled before the requests that became readable in the same turn. Class: the process's own pause counts as time that others had. Change: the loop goes on for 50 ms of the 500 ms exit margin; such requests are refused at once then, with a true 'not run'. The test requestsThatArriveWhileTheProcessIsPausedAtItsExitAreAnswered (SIGSTOP from 7.3 to 7.7 s after the signal, ten kept connections) failed before (no byte came) and holds. The fixture's idle timeout is 15 s, so that the connections are open that long.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds SETTINGS_POLL_INTERVAL{2'000};
 /// Draining ends this long before the grace period does, so that the last responses are transmitted before SIGKILL.
 constexpr milliseconds EXIT_MARGIN{500};
+/// A loop that is late reaches its exit together with requests that have arrived meanwhile. They are answered in this time, part of EXIT_MARGIN.
+constexpr milliseconds LAST_ANSWERS_TIME{50};
 /// Callers with a cached address connect within this time after it has expired.
 constexpr milliseconds LAST_CONNECT_TIME{500};
 constexpr milliseconds DRAIN_POLL_INTERVAL{50};
@@ -306,9 +308,11 @@
         boost::system::error_code ignored;
         callerAcceptor_->close(ignored);
         if (context_.nothingPending(now)) {
-            break;
+            reactor_.stop();
+            co_return;
         }
     }
+    co_await transport::sleepFor(LAST_ANSWERS_TIME);
     reactor_.stop();
 }
 
--- a/src/gateway/tests/lateingrace_tests.cpp
+++ b/src/gateway/tests/lateingrace_tests.cpp
@@ -26,7 +26,7 @@
  {"name":"engine","host":"a.example","prefix":"/engine/","kind":"stream","timeout_ms":9000,"target_latency_ms":500,"gap_aim_ms":120,"priority":1,"service":"engine","max_attempts":2,"public":true,"resumable":true}],
  "services":[{"name":"plain","health_path":"/h","max_connections":500,"cold_start_s":0,"cold_per_s":0},
  {"name":"engine","health_path":"/h","max_connections":500,"cold_start_s":0,"cold_per_s":0,"engine":{"slots":200,"stride":4,"step_ms":5.0}}],
- "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":2000},"tenants":[]})";
+ "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":15000},"tenants":[]})";
 
 constexpr milliseconds USUAL_TIME{30};
 constexpr milliseconds SLOW_TIME{6'000};
@@ -83,12 +83,35 @@
         return sent.size() - 1;
     }
 
+    /// Opens connections on which nothing is sent yet.
+    void openConnections(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            asio::co_spawn(
+                reactor_,
+                [](StopFixture *self) -> asio::awaitable<void> {
+                    const transport::ConnectionPtr connection
+                        = co_await transport::connectTo(self->reactor_.get_executor(), self->gateway->endpoint(), seconds{1});
+                    if (connection) {
+                        self->connections.push_back(connection);
+                    }
+                }(this),
+                asio::detached);
+        }
+    }
+
     void run(milliseconds duration)
     {
         reactor_.run_for(duration);
     }
 
+    asio::io_context &reactor()
+    {
+        return reactor_;
+    }
+
     std::unique_ptr<GatewayProcess> gateway;
+    std::vector<transport::ConnectionPtr> connections;
     std::vector<std::shared_ptr<SentRequest>> sent;
     std::set<std::string> reached; ///< Ids of the requests that an upstream has received.
 
@@ -254,3 +277,30 @@
         CHECK_EQUAL(200, fixture->sent[number]->result.status);
     }
 }
+
+// Guards against requests that are read but not answered, since the process was paused until the moment of its exit.
+TEST(GatewayStop, requestsThatArriveWhileTheProcessIsPausedAtItsExitAreAnswered)
+{
+    fixture->sendFor(seconds{4}, "usual");
+    fixture->openConnections(10);
+    fixture->sendFor(REQUEST_INTERVAL, ENDLESS);
+    fixture->run(milliseconds{300});
+    CHECK_EQUAL(10, fixture->connections.size());
+    const Instant terminatedAt = framework::monotonicNow();
+    fixture->gateway->terminate();
+    fixture->run(milliseconds{7'300});
+    CHECK_FALSE(fixture->gateway->ended());
+    ::kill(fixture->gateway->id(), SIGSTOP);
+    for (const transport::ConnectionPtr &connection : fixture->connections) {
+        CHECK_TRUE(connection->open());
+        asio::co_spawn(fixture->reactor(), tests::send(connection, "POST /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: p\r\nContent-Length: 0\r\n\r\n"),
+                       asio::detached);
+    }
+    fixture->run(std::chrono::duration_cast<milliseconds>(terminatedAt + milliseconds{7'700} - framework::monotonicNow()));
+    ::kill(fixture->gateway->id(), SIGCONT);
+    fixture->run(seconds{1});
+    CHECK(fixture->gateway->ended());
+    for (const transport::ConnectionPtr &connection : fixture->connections) {
+        STRCMP_CONTAINS("HTTP/1.1 503", std::string(connection->receiveBuffer()).c_str());
+    }
+}
