--- a/src/soak/internal/site.cpp
+++ b/src/soak/internal/site.cpp
@@ -242,6 +242,7 @@
             self->finished_ = true;
         }(this),
         asio::detached);
+    asio::co_spawn(reactor_, watchPauses(), asio::detached);
     while (!finished_) {
         reactor_.run_for(std::chrono::milliseconds{50});
     }
@@ -407,6 +408,15 @@
     }
 }
 
+asio::awaitable<void> Site::watchPauses()
+{
+    while (!finished_) {
+        const Instant begin = framework::monotonicNow();
+        co_await transport::sleepFor(WATCH_INTERVAL);
+        totals_.longestPause = std::max<Duration>(totals_.longestPause, framework::monotonicNow() - begin - WATCH_INTERVAL);
+    }
+}
+
 asio::awaitable<void> Site::shiftDemand()
 {
     while (!finished_) {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -66,7 +66,7 @@
               << "); longest answer after SIGTERM " << toMs(totals.longestAfterSignal) << " ms, of late requests " << toMs(totals.longestOfLate) << " ms ("
               << totals.latePassedOn << " late streams passed on); latest arrival at a leaving upstream " << toMs(site.latestArrival()) << " ms; "
               << site.group().switches() << " changes of the map, mean pass " << toMs(site.group().meanPass()) << " ms, longest stand "
-              << toMs(site.group().longestStand()) << " ms\n";
+              << toMs(site.group().longestStand()) << " ms, longest pause of the soak " << toMs(totals.longestPause) << " ms\n";
     for (const std::string &line : broken) {
         std::cout << "  broken: " << line << '\n';
     }
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -41,6 +41,7 @@
     int left = 0; ///< Given up by the caller.
     int latePassedOn = 0; ///< Streams that a draining gateway passed on although no cut of them is excused.
     int cutLogged = 0; ///< Responses that the gateways' logs say were cut.
+    Duration longestPause{0}; ///< Longest time for which the soak itself did not run.
     Duration longestAfterSignal{0}; ///< Longest time from the SIGTERM of a gateway to the end of a complete answer of its.
     Duration longestOfLate{0}; ///< The same for requests that were sent so late that no cut is excused.
 };
@@ -70,6 +71,8 @@
     void startProcesses();
     asio::awaitable<bool> waitUntilReady();
     asio::awaitable<void> watchProcesses();
+    /// Measures how long the soak itself is held up. A run on a machine that stands for seconds shows little about the gateways.
+    asio::awaitable<void> watchPauses();
     asio::awaitable<void> call(unsigned seed);
     asio::awaitable<void> resolve(Directory &directory, std::minstd_rand &random);
     asio::awaitable<AttemptSeen> exchange(const std::string &address, int events, bool chunkedBody);
