--- a/src/dispatch/completiontimes.h
+++ b/src/dispatch/completiontimes.h
@@ -22,7 +22,7 @@
 {
     std::string_view route;
     framework::Instant deadline{0};
-    std::optional<framework::Duration> stated = std::nullopt; ///< Upper bound according to the length that the request allows.
+    std::optional<framework::Duration> stated = std::nullopt; ///< Expected time of the longest answer that the request allows, at the present pace.
     int64_t statedTokens = 0; ///< Longest answer that the request allows, 0 if it does not state one.
     bool isStream = false;
     std::optional<framework::Duration> slowest = std::nullopt; ///< Time that a stream takes whose passes are as slow as its objective allows.
@@ -61,8 +61,8 @@
     std::optional<framework::Duration> needed(const RequestLength &request, framework::Instant now) const;
     /// True if a request that is passed on now can end before @p end: by needed() or, if nothing is known, by its deadline.
     bool canEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
-    /// True if a request that is passed on now ends before @p end even if it is slower than all recent ones: a stream by its deadline or by the longest
-    /// time that it may take.
+    /// True if a request that is passed on now ends before @p end by its deadline or, for a stream, with passes as slow as its objective allows. A group
+    /// that stands, or passes that are slower still, can make it take longer. Plain requests are judged as by canEndBefore().
     bool mustEndBefore(framework::Instant end, const RequestLength &request, framework::Instant now) const;
 
 private:
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -67,6 +67,7 @@
     /// The store is available again after an outage: lapsed registrations may return within LAPSED_GRACE.
     void onStoreRegained(Instant now);
     /// Removes upstreams that did not return within the grace period.
+    /// Returns true if any was removed.
     bool expire(Instant now);
 
     bool hasConfig() const;
--- a/src/fleet/nodesettings.h
+++ b/src/fleet/nodesettings.h
@@ -46,6 +46,7 @@
         return addressTtl() * MAX_ADDRESS_LIFETIMES;
     }
 
+    /// Callers use an address for up to this multiple of the time for which they may cache it.
     static constexpr int MAX_ADDRESS_LIFETIMES = 3;
 
     /// Longest time for which a gateway may use a configuration without evidence that there is no newer one.
--- a/src/gateway/draintally.h
+++ b/src/gateway/draintally.h
@@ -9,16 +9,15 @@
 namespace daisymount::gateway
 {
 
-/// Counts since SIGTERM.
 struct DrainTally
 {
-    int passedOn = 0;
-    int refused = 0; ///< Because they would not end before the exit.
-    int cut = 0;
+    int passedOn = 0; ///< Since SIGTERM.
+    int refused = 0; ///< Since SIGTERM, because they would not end before the exit.
+    int cut = 0; ///< In the life of the process.
     framework::Instant lastEndAt{0}; ///< When the last response was complete; 0 if none was.
 };
 
-/// Expectation on which a draining gateway passed a request on.
+/// What a draining gateway expected of a request when it passed it on.
 struct DrainEstimate
 {
     std::optional<framework::Duration> needed; ///< Longest time that the request was expected to take; empty if unknown.
