Review: an evacuated zone is used again

While the operator's keys are read anew, a peer's newer keys and an older answer of the store leave two sets of emptied zones; the next event puts the older one in force.

--- a/review/standins-2/sitekit.h
+++ b/review/standins-2/sitekit.h
@@ -453,6 +453,24 @@
         removeLocked(key);
     }
 
+    /// Answers take up to this long from now on. The content is that of the moment at which the call came.
+    void setSlow(int64_t maxMs)
+    {
+        slowMs_ = maxMs;
+    }
+
+    /// Called with the prefix of a range that has been read; returns for how long its answer is under way.
+    std::function<int64_t(const std::string &prefix)> onRange = [](const std::string &) { return int64_t{0}; };
+
+    /// Discards the history and cuts the watches that are waiting.
+    void forgetHistory()
+    {
+        const std::lock_guard lock(mutex_);
+        forgottenUpTo_ = revision_;
+        ++cuts_;
+        changed_.notify_all();
+    }
+
 private:
     struct Item
     {
@@ -533,6 +551,10 @@
 
     void reply(Link &link, int status, Json::Value body)
     {
+        if (slowMs_ > 0) {
+            thread_local std::minstd_rand random{std::random_device{}()};
+            sleepMs(std::uniform_int_distribution<int64_t>(4, slowMs_)(random));
+        }
         link.send(response(status, {"Content-Type: application/json"}, toText(body)));
     }
 
@@ -552,8 +574,19 @@
                 }
             }
             body["has_more"] = false;
+            body["store_revision"] = static_cast<Json::Int64>(revision_);
+            lock.unlock();
+            sleepMs(onRange(prefix));
+            return reply(link, 200, body);
         } else if (target.starts_with("/-/kv-watch")) {
-            watch(target, body, lock);
+            if (std::stoll(queryValue(target, "after")) < forgottenUpTo_) {
+                lock.unlock();
+                return reply(link, 410, body);
+            }
+            if (!watch(target, body, lock)) {
+                link.shutdown();
+                return;
+            }
         } else if (target.starts_with("/-/kv-key")) {
             const std::string key = queryValue(target, "key");
             if (!items_.contains(key)) {
@@ -589,8 +622,10 @@
         reply(link, 200, body);
     }
 
-    void watch(const std::string &target, Json::Value &body, std::unique_lock<std::mutex> &lock)
+    /// Returns false if the watch is cut.
+    bool watch(const std::string &target, Json::Value &body, std::unique_lock<std::mutex> &lock)
     {
+        const int cuts = cuts_;
         const std::string prefix = queryValue(target, "prefix");
         const int64_t after = std::stoll(queryValue(target, "after"));
         const auto end = Clock::now() + milliseconds{std::stoll(queryValue(target, "wait_ms"))};
@@ -601,8 +636,15 @@
                     body["events"].append(event);
                 }
             }
-            if (!body["events"].empty() || changed_.wait_until(lock, end) == std::cv_status::timeout) {
-                return;
+            if (!body["events"].empty()) {
+                return true;
+            }
+            const bool ended = changed_.wait_until(lock, end) == std::cv_status::timeout;
+            if (cuts != cuts_) {
+                return false;
+            }
+            if (ended) {
+                return true;
             }
         }
     }
@@ -636,6 +678,9 @@
     std::map<std::string, Item> items_;
     std::vector<std::pair<int64_t, Json::Value>> history_;
     std::map<int64_t, Lease> leases_;
+    std::atomic<int64_t> slowMs_{0};
+    int64_t forgottenUpTo_ = 0;
+    int cuts_ = 0;
     int64_t lastLease_ = 100;
     int64_t revision_ = 1;
     Server server_;
