gateway: a stream that ends inside an event is never passed on as complete

Cause: only a body that ends with its connection was checked for an unfinished event. A last chunk or a length that was reached sent the half event and the end of the answer. Class: of several ways to one end, one has the check that belongs to the end. Change: completeResponse() is the only place where an answer becomes complete, and asks whether an event is open, for every framing and for resumed attempts. EventAssembler, now in a file of its own, parses lines that end with LF, CR LF or CR once, instead of searching for two fixed blank lines: streams with CR counted as one endless event. A body of another media type on a stream route is not split into events. The attempt's log line has ended_inside_event. Ruled out: that the splitter took the half event for a whole one, or that the attempt failed and the relay ended the answer (its log line says answered).

--- a/src/gateway/answerrelay.h
+++ b/src/gateway/answerrelay.h
@@ -11,32 +11,6 @@
 namespace daisymount::gateway
 {
 
-/// Splits a byte stream into complete server-sent events, so that an interrupted stream can be resumed at another upstream.
-class EventAssembler
-{
-public:
-    /// Appends received bytes and returns all events that are now complete.
-    std::string append(std::string_view bytes);
-    /// Discards an incomplete event, before the stream is resumed at another upstream.
-    void discardPartial();
-    /// Bytes received after the last complete event.
-    const std::string &partial() const;
-    /// Id of the last complete event that has one, empty if there is none.
-    const std::string &lastEventId() const;
-    int eventCount() const;
-    /// Number of complete events that carry data. Events without data only keep the connection alive and are no progress.
-    int64_t eventsWithData() const;
-
-private:
-    void parseLines(std::string_view events);
-
-    std::string partial_;
-    std::string lastEventId_;
-    int eventCount_ = 0;
-    bool hasData_ = false; ///< Whether the event being parsed has a data field.
-    int64_t eventsWithData_ = 0;
-};
-
 /// Writes one response to a caller's connection.
 class ResponseRelay
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/answerrelay.h"
 #include "gateway/callerrequest.h"
 #include "gateway/draintally.h"
+#include "gateway/eventassembler.h"
 #include "gateway/gatewaycontext.h"
 #include "platform/headers.h"
 
@@ -99,7 +100,10 @@
     bool processHead(Attempt &attempt);
     /// Returns false when a successful response cannot continue the stream that has already been relayed in part.
     bool canContinueStream(const Attempt &attempt) const;
+    /// Ends a response that is complete by its framing. A stream that ends inside an event is truncated however its body is delimited.
     transport::asio::awaitable<AttemptOutcome> completeResponse(Attempt &attempt);
+    /// True if the response is a stream of events. One whose Content-Type names something else is relayed like any other response.
+    bool isEventStream(const Attempt &attempt) const;
     /// Decides whether to stop reading a response body that is not relayed, since it may never end. Returns an empty value to go on reading.
     std::optional<AttemptOutcome> abandonUnrelayedBody(Attempt &attempt, Instant now);
     /// Returns true when the stream has made no progress for so long that the attempt has to be ended.
--- a/src/gateway/internal/answerrelay.cpp
+++ b/src/gateway/internal/answerrelay.cpp
@@ -1,4 +1,4 @@
-// Event splitting and HTTP/1.1 framing of responses to callers.
+// HTTP/1.1 framing of responses to callers.
 
 #include "gateway/answerrelay.h"
 
@@ -28,79 +28,8 @@
     out += "\r\n";
     return out;
 }
-
-/// Returns the position after the last blank line of @p text, 0 if there is none.
-size_t endOfLastEvent(std::string_view text)
-{
-    const size_t lf = text.rfind("\n\n");
-    const size_t crlf = text.rfind("\r\n\r\n");
-    const size_t lfEnd = lf == std::string_view::npos ? 0 : lf + 2;
-    const size_t crlfEnd = crlf == std::string_view::npos ? 0 : crlf + 4;
-    return std::max(lfEnd, crlfEnd);
-}
 } // namespace
 
-std::string EventAssembler::append(std::string_view bytes)
-{
-    partial_ += bytes;
-    const size_t end = endOfLastEvent(partial_);
-    std::string whole = partial_.substr(0, end);
-    partial_.erase(0, end);
-    parseLines(whole);
-    return whole;
-}
-
-void EventAssembler::parseLines(std::string_view events)
-{
-    while (!events.empty()) {
-        const size_t end = events.find('\n');
-        std::string_view line = events.substr(0, end);
-        events = end == std::string_view::npos ? std::string_view{} : events.substr(end + 1);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        if (line.empty()) {
-            ++eventCount_;
-            eventsWithData_ += hasData_ ? 1 : 0;
-            hasData_ = false;
-        }
-        hasData_ = hasData_ || line.starts_with("data");
-        if (!line.starts_with("id:")) {
-            continue;
-        }
-        line.remove_prefix(3);
-        if (!line.empty() && line.front() == ' ') {
-            line.remove_prefix(1);
-        }
-        lastEventId_ = line;
-    }
-}
-
-void EventAssembler::discardPartial()
-{
-    partial_.clear();
-}
-
-const std::string &EventAssembler::partial() const
-{
-    return partial_;
-}
-
-const std::string &EventAssembler::lastEventId() const
-{
-    return lastEventId_;
-}
-
-int EventAssembler::eventCount() const
-{
-    return eventCount_;
-}
-
-int64_t EventAssembler::eventsWithData() const
-{
-    return eventsWithData_;
-}
-
 ResponseRelay::ResponseRelay(transport::Connection &caller, bool closeConnection) : caller_(caller), closeConnection_(closeConnection)
 { }
 
--- a/src/gateway/internal/attemptend.cpp
+++ b/src/gateway/internal/attemptend.cpp
@@ -158,6 +158,7 @@
                           {"caller_at_start", attempt.callerOpenAtStart ? "open" : "closed"},
                           {"head_ms", std::to_string(toMilliseconds(attempt.timeToHead).count())},
                           {"events", std::to_string(events_.eventsWithData() - attempt.eventsAtStart)},
+                          {"ended_inside_event", attempt.truncated ? "yes" : "no"},
                           {"upstream_silent_ms", millisecondsText(context_.dispatcher.silence(attempt.placement.upstream, now))},
                           {"service_silent_ms", millisecondsText(context_.passTimeTracker.silence(attempt.group, context_.listeningTime(now)))},
                           {"ms", std::to_string(toMilliseconds(now - attempt.startedAt).count())}}});
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -58,6 +58,7 @@
 constexpr milliseconds UNSAFE_MAX_IDLE{2'500};
 constexpr milliseconds IDEMPOTENT_MAX_IDLE{60'000};
 constexpr int OK = 200;
+constexpr std::string_view EVENT_STREAM_TYPE = "text/event-stream";
 constexpr std::string_view KEEP_ALIVE_TIMEOUT = "timeout=";
 constexpr int64_t MAX_IDLE_LIMIT_S = 3'600;
 
@@ -208,10 +209,8 @@
             co_return AttemptOutcome::CallerGone;
         }
         if (upstream.readEnd() == transport::ReadEnd::Finished && attempt.headReceived && !attempt.forOtherRequest) {
-            // A stream without explicit length that ends inside an event is truncated, even if the connection was closed gracefully.
-            attempt.truncated = attempt.streaming && !events_.partial().empty();
             attempt.reader.feedEof();
-            if (attempt.reader.done() && !attempt.truncated) {
+            if (attempt.reader.done()) {
                 co_return co_await completeResponse(attempt);
             }
         }
@@ -353,13 +352,19 @@
     attempt.pooled.connection->peerIdleTimeout = statedIdleLimit(attempt.reader.fields());
     if (isSuccess(status)) {
         attempt.headOutcome = AttemptOutcome::Answered;
-        attempt.streaming = match_.route->kind == fleet::RequestKind::Stream;
+        attempt.streaming = isEventStream(attempt);
         return !headers.signature.empty() && !headers.encoded && canContinueStream(attempt);
     }
     attempt.headOutcome = headers.notRun || status == MISDIRECTED_REQUEST ? AttemptOutcome::NotRun : AttemptOutcome::FailureAnswer;
     return true;
 }
 
+bool Exchange::isEventStream(const Attempt &attempt) const
+{
+    const std::string type = mediaType(transport::findField(attempt.reader.fields(), "Content-Type"));
+    return match_.route->kind == fleet::RequestKind::Stream && (type.empty() || type == EVENT_STREAM_TYPE);
+}
+
 bool Exchange::canContinueStream(const Attempt &attempt) const
 {
     // An error page sent as a success would otherwise become part of the stream, or its end.
@@ -438,6 +443,10 @@
                                            mayHaveRunDespiteRefusal ? std::string() : std::move(attempt.reader.body())};
         co_return AttemptOutcome::FailureAnswer;
     }
+    attempt.truncated = attempt.streaming && events_.isInsideEvent();
+    if (attempt.truncated) {
+        co_return AttemptOutcome::MayHaveRun;
+    }
     bool delivered = false;
     if (!relay_.started() && !attempt.streaming) {
         const std::string fields = platform::forwardedResponseFields(attempt.reader.fields(), true);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -371,20 +371,3 @@
     LONGS_EQUAL(200, result.status);
     STRCMP_EQUAL("abcde", upstream.received.at(0).body.c_str());
 }
-
-TEST_GROUP(EventAssembler)
-{
-    EventAssembler events;
-};
-
-TEST(EventAssembler, returnsOnlyCompleteEvents)
-{
-    STRCMP_EQUAL("", events.append("id: 1\nda").c_str());
-    STRCMP_EQUAL("id: 1\ndata: x\n\n", events.append("ta: x\n\nid: 2\n").c_str());
-    STRCMP_EQUAL("1", events.lastEventId().c_str());
-    STRCMP_EQUAL("id: 2\n", events.partial().c_str());
-    events.discardPartial();
-    STRCMP_EQUAL("id:3\r\ndata: y\r\n\r\n", events.append("id:3\r\ndata: y\r\n\r\n").c_str());
-    STRCMP_EQUAL("3", events.lastEventId().c_str());
-    LONGS_EQUAL(2, events.eventCount());
-}
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -335,6 +335,100 @@
     CHECK(result.body.find("da", result.body.find("id: 2")) == std::string::npos);
 }
 
+namespace
+{
+/// Ways in which a body that consists of @p events, and ends inside the last of them, is delimited.
+std::vector<std::string> delimitedBodies(const std::string &events)
+{
+    const std::string fields = "X-Response-Seal: s\r\nContent-Type: text/event-stream\r\n";
+    std::array<char, 16> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx", events.size());
+    const std::string chunk = std::string(size.data(), static_cast<size_t>(length)) + "\r\n" + events + "\r\n";
+    return {
+        head("200 OK", fields + "Transfer-Encoding: chunked\r\n") + chunk + LAST_CHUNK,
+        head("200 OK", fields + "Content-Length: " + std::to_string(events.size()) + "\r\n") + events,
+        head("200 OK", fields) + events,
+    };
+}
+
+/// Sends @p first to requests without Last-Event-Id and @p resumed to the others, and closes the connection.
+Script sendingBodies(const std::string &first, const std::string &resumed)
+{
+    return [first, resumed](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+        co_await send(connection, withId(received.field("Last-Event-Id").empty() ? first : resumed, received));
+        co_await connection->closeGracefully(milliseconds{200});
+    };
+}
+
+const std::string CUT_EVENTS = "id: 1\ndata: a\n\nid: 2\nda";
+} // namespace
+
+// Guards against a stream that ends inside an event reaching its caller as complete, however its body is delimited.
+TEST(UpstreamTrouble, streamThatEndsInsideAnEventIsResumed)
+{
+    const std::string rest = delimitedBodies("id: 2\ndata: b\n\n").front();
+    for (const std::string &cut : delimitedBodies(CUT_EVENTS)) {
+        fixture = newFixture();
+        auto &first = fixture->addUpstream("u1", "plain", sendingBodies(cut, rest));
+        auto &second = fixture->addUpstream("u2", "plain", sendingBodies(cut, rest));
+        const CallerResult result = fixture->call(request("POST", "/stream/"));
+        CHECK(result.complete);
+        STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", result.body.c_str());
+        LONGS_EQUAL(2, first.received.size() + second.received.size());
+    }
+}
+
+TEST(UpstreamTrouble, streamThatCannotBeResumedIsBrokenOffInsteadOfCompleted)
+{
+    for (const std::string &cut : delimitedBodies(CUT_EVENTS)) {
+        // A resumed attempt ends in the same way.
+        for (const std::string path : {"/once/", "/stream/"}) {
+            fixture = newFixture();
+            fixture->addUpstream("u1", "plain", sendingBodies(cut, cut));
+            fixture->addUpstream("u2", "plain", sendingBodies(cut, cut));
+            const CallerResult result = fixture->call(request("POST", path));
+            LONGS_EQUAL(200, result.status);
+            CHECK_FALSE(result.complete);
+            CHECK(result.body.find("da", result.body.find("id: 2")) == std::string::npos);
+        }
+    }
+}
+
+TEST(UpstreamTrouble, streamThatEndsInsideItsFirstEventIsRepeatedOnlyIfItsRouteAllows)
+{
+    const std::string whole = delimitedBodies("id: 1\ndata: a\n\n").front();
+    for (const std::string &cut : delimitedBodies("id: 1\nda")) {
+        for (const std::string path : {"/once/", "/stream/"}) {
+            fixture = newFixture();
+            auto broken = std::make_shared<bool>(false);
+            const Script firstIsCut = [broken, cut, whole](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+                co_await send(connection, withId(std::exchange(*broken, true) ? whole : cut, received));
+                co_await connection->closeGracefully(milliseconds{200});
+            };
+            auto &first = fixture->addUpstream("u1", "plain", firstIsCut);
+            auto &second = fixture->addUpstream("u2", "plain", firstIsCut);
+            const CallerResult result = fixture->call(request("POST", path));
+            const bool resumable = path == "/stream/";
+            LONGS_EQUAL(resumable ? 200 : 502, result.status);
+            CHECK(result.complete);
+            LONGS_EQUAL(resumable ? 2 : 1, first.received.size() + second.received.size());
+        }
+    }
+}
+
+TEST(UpstreamTrouble, streamWithOtherLineEndsIsCompleteAndPassedOnEventByEvent)
+{
+    for (const std::string events : {"id: 1\rdata: a\r\rid: 2\rdata: b\r\r", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"}) {
+        for (const std::string &body : delimitedBodies(events)) {
+            fixture = newFixture();
+            fixture->addUpstream("u1", "plain", sendingBodies(body, body));
+            const CallerResult result = fixture->call(request("POST", "/once/"));
+            CHECK(result.complete);
+            STRCMP_EQUAL(events.c_str(), result.body.c_str());
+        }
+    }
+}
+
 TEST(UpstreamTrouble, rejectsTruncatedResponses)
 {
     const std::vector<std::string> halves = {
