fleet: zones out of service have one copy, in which each zone has the latest state that was told

Cause: StoreSync kept a set of its own beside the one in force, cleared and filled it from a whole read, and only then FleetView refused that read, as peers had told newer keys meanwhile. The next event of any zone put the old set in force. Class: state written from an answer before the answer is known to be newer. Change: ZonesOutOfService takes sets and single changes in any order and holds every comparison of their revisions. Reads, watches and peers write to it only. The revision of the zones is that of their last change or read. The log names each zone that changes and who told of it. Ruled out: that the view accepts older sets (it compares), and that the event was lost against the protocol (a peer had confirmed it).

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/fleettypes.h"
+#include "fleet/zonesoutofservice.h"
 
 #include <functional>
 #include <memory>
@@ -59,8 +60,10 @@
 
     /// Applies a configuration. Older revisions are ignored; returns true if it became active.
     bool applyConfig(const StoredItem &item);
-    /// Replaces the set of zones out of service. Ignored if @p revision is older than the current one.
-    bool applyZonesOut(std::set<std::string> zones, int64_t revision);
+    /// Applies the complete set of zones out of service as of @p revision, see ZonesOutOfService::applySet().
+    bool applyZonesOut(const std::set<std::string> &zones, int64_t revision);
+    /// Applies the change of one zone, see ZonesOutOfService::applyChange().
+    bool applyZoneChange(std::string_view zone, bool outOfService, int64_t revision);
     /// Replaces the upstreams by those in @p snapshot. Missing upstreams are kept during the grace period after a store outage. Of several
     /// upstreams at one address only the last registered is kept, since the registration of a crashed one remains until its lease ends.
     void applyUpstreams(const Snapshot &snapshot, Instant now);
@@ -99,8 +102,7 @@
     FleetDecoder decoder_;
     std::shared_ptr<const FleetConfig> config_; ///< Never null; version 0 before the first configuration.
     StoredItem configItem_; ///< Its revision never decreases.
-    std::set<std::string> zonesOut_;
-    int64_t zonesRevision_ = -1; ///< Never decreases.
+    ZonesOutOfService zonesOut_;
     Snapshot upstreamItems_; ///< Its revision never decreases.
     std::map<std::string, KnownUpstream, std::less<>> upstreams_; ///< By id.
     std::map<std::string, int64_t, std::less<>> malformedUpstreams_; ///< Revision by id.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -27,15 +27,14 @@
     return true;
 }
 
-bool FleetView::applyZonesOut(std::set<std::string> zones, int64_t revision)
+bool FleetView::applyZonesOut(const std::set<std::string> &zones, int64_t revision)
 {
-    if (revision < zonesRevision_) {
-        return false;
-    }
-    zonesRevision_ = revision;
-    const bool changed = zones != zonesOut_;
-    zonesOut_ = std::move(zones);
-    return changed;
+    return zonesOut_.applySet(zones, revision);
+}
+
+bool FleetView::applyZoneChange(std::string_view zone, bool outOfService, int64_t revision)
+{
+    return zonesOut_.applyChange(zone, outOfService, revision);
 }
 
 void FleetView::applyUpstreams(const Snapshot &snapshot, Instant now)
@@ -141,12 +140,12 @@
 
 bool FleetView::zoneOut(std::string_view zone) const
 {
-    return zonesOut_.contains(std::string(zone));
+    return zonesOut_.contains(zone);
 }
 
 const std::set<std::string> &FleetView::zonesOut() const
 {
-    return zonesOut_;
+    return zonesOut_.zones();
 }
 
 const std::map<std::string, KnownUpstream, std::less<>> &FleetView::upstreams() const
@@ -161,13 +160,13 @@
 
 int64_t FleetView::zonesRevision() const
 {
-    return zonesRevision_;
+    return zonesOut_.revision();
 }
 
 uint32_t FleetView::zonesDigest() const
 {
     std::string names;
-    for (const std::string &zone : zonesOut_) {
+    for (const std::string &zone : zonesOut_.zones()) {
         names += zone + '\n';
     }
     return static_cast<uint32_t>(framework::hash64(names));
--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -41,6 +41,13 @@
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
 }
+
+/// Returns the zone that the operators' key @p key takes out of service, or an empty value if it is another key.
+std::optional<std::string_view> evacuatedZone(std::string_view key)
+{
+    const bool isZone = key.starts_with(platform::ZONE_EVACUATION_PREFIX);
+    return isZone ? std::optional(key.substr(platform::ZONE_EVACUATION_PREFIX.size())) : std::nullopt;
+}
 } // namespace
 
 milliseconds StoreSync::watchTimeout() const
@@ -101,11 +108,16 @@
     if (!co_await readRange(std::string(platform::OPERATOR_PREFIX), ReadConsistency::Linearizable, page)) {
         co_return false;
     }
-    zonesOut_.clear();
+    std::set<std::string> zones;
     for (const platform::StoreItem &item : page.items) {
-        applyOperatorItem(item, false);
+        applyConfigItem(item);
+        if (const std::optional<std::string_view> zone = evacuatedZone(item.key)) {
+            zones.emplace(*zone);
+        }
     }
-    applyZones(page.revision);
+    const std::set<std::string> before = context_.view.zonesOut();
+    context_.view.applyZonesOut(zones, page.revision);
+    reportZones(before, "read", page.revision);
     context_.currency.onApplied(ownRevisions());
     context_.currency.onKeysRead(page.revision, askedAt);
     publishKeys();
@@ -120,17 +132,18 @@
     const auto reply = co_await call(name, platform::watchCall(platform::OPERATOR_PREFIX, after, wait), timeout);
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
-        bool zonesChanged = false;
         int64_t lastChange = 0;
+        const std::set<std::string> before = context_.view.zonesOut();
         for (const platform::StoreChange &change : changes.changes) {
             lastChange = std::max(lastChange, change.item.revision);
-            applyOperatorItem(change.item, change.deleted);
-            zonesChanged = zonesChanged || change.item.key.starts_with(platform::ZONE_EVACUATION_PREFIX);
-        }
-        if (zonesChanged) {
-            // The revision advances only when zones change, because peers fetch whatever is newer than their own copy.
-            applyZones(changes.revision);
+            if (!change.deleted) {
+                applyConfigItem(change.item);
+            }
+            if (const std::optional<std::string_view> zone = evacuatedZone(change.item.key)) {
+                context_.view.applyZoneChange(*zone, !change.deleted, change.item.revision);
+            }
         }
+        reportZones(before, name, lastChange);
         // A call without changes was answered when its wait had ended.
         const bool waited = changes.changes.empty() && framework::monotonicNow() - askedAt >= wait;
         context_.currency.onApplied(ownRevisions());
@@ -147,35 +160,40 @@
     co_return static_cast<bool>(read);
 }
 
-void StoreSync::applyOperatorItem(const platform::StoreItem &item, bool deleted)
+void StoreSync::applyConfigItem(const platform::StoreItem &item)
 {
-    if (item.key == platform::CONFIG_KEY && !deleted) {
-        const Duration behind = context_.currency.behindFor(framework::monotonicNow());
-        const bool applied = context_.view.applyConfig({item.key, item.value, item.revision});
-        const bool rejected = !applied && item.revision > context_.view.configRevision();
-        context_.log.report({"configuration",
-                             applied        ? "applied"
-                                 : rejected ? "rejected"
-                                            : "kept",
-                             rejected ? ResultCode::BadMessage : ResultCode::Ok,
-                             "",
-                             {{"revision", std::to_string(item.revision)},
-                              {"version", std::to_string(context_.view.config()->version)},
-                              {"behind_ms", millisecondsText(behind)}}});
-    } else if (item.key.starts_with(platform::ZONE_EVACUATION_PREFIX)) {
-        const std::string zone = item.key.substr(platform::ZONE_EVACUATION_PREFIX.size());
-        deleted ? static_cast<void>(zonesOut_.erase(zone)) : static_cast<void>(zonesOut_.insert(zone));
-        context_.log.report({"zones",
-                             deleted ? "zone_back" : "zone_out",
-                             ResultCode::ZoneOutOfService,
-                             "",
-                             {{"availability_zone", zone}, {"revision", std::to_string(item.revision)}}});
+    if (item.key != platform::CONFIG_KEY) {
+        return;
     }
+    const Duration behind = context_.currency.behindFor(framework::monotonicNow());
+    const bool applied = context_.view.applyConfig({item.key, item.value, item.revision});
+    const bool rejected = !applied && item.revision > context_.view.configRevision();
+    context_.log.report(
+        {"configuration",
+         applied        ? "applied"
+             : rejected ? "rejected"
+                        : "kept",
+         rejected ? ResultCode::BadMessage : ResultCode::Ok,
+         "",
+         {{"revision", std::to_string(item.revision)}, {"version", std::to_string(context_.view.config()->version)}, {"behind_ms", millisecondsText(behind)}}});
 }
 
-void StoreSync::applyZones(int64_t revision)
+void StoreSync::reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision)
 {
-    context_.view.applyZonesOut(zonesOut_, revision);
+    const auto report = [&](const std::set<std::string> &zones, const std::set<std::string> &others, std::string_view event) {
+        for (const std::string &zone : zones) {
+            if (!others.contains(zone)) {
+                context_.log.report({"zones",
+                                     event,
+                                     ResultCode::ZoneOutOfService,
+                                     "",
+                                     {{"availability_zone", zone}, {"revision", std::to_string(revision)}, {"told_by", std::string(source)}}});
+            }
+        }
+    };
+    const std::set<std::string> &now = context_.view.zonesOut();
+    report(now, before, "zone_out");
+    report(before, now, "zone_back");
 }
 
 configsync::KeyRevisions StoreSync::ownRevisions() const
@@ -274,10 +292,9 @@
                              {{"peer", peer}, {"revision", std::to_string(snapshot->config.revision)}, {"behind_ms", millisecondsText(behind)}}});
     }
     const bool newZones = snapshot->zonesRevision > context_.view.zonesRevision();
-    if (newZones) {
-        zonesOut_ = snapshot->zonesOut;
-        context_.view.applyZonesOut(snapshot->zonesOut, snapshot->zonesRevision);
-    }
+    const std::set<std::string> before = context_.view.zonesOut();
+    context_.view.applyZonesOut(snapshot->zonesOut, snapshot->zonesRevision);
+    reportZones(before, peer, snapshot->zonesRevision);
     if (newConfig || newZones) {
         context_.currency.onApplied(ownRevisions());
         publishChange();
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -73,8 +73,9 @@
 
     transport::asio::awaitable<transport::HttpReply> call(std::string_view name, platform::HttpCall call, milliseconds timeout);
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
-    void applyOperatorItem(const platform::StoreItem &item, bool deleted);
-    void applyZones(int64_t revision);
+    void applyConfigItem(const platform::StoreItem &item);
+    /// Logs the zones that differ from @p before. @p source is the call or the peer that told of them.
+    void reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision);
     /// Evaluates the end of a call that began at @p askedAt.
     void recordStoreResponse(bool answered, Instant askedAt);
     /// Logs a call without a useful reply. @p target is "store" or the name of a peer.
@@ -84,7 +85,6 @@
     GatewayContext &context_;
     std::function<void()> onChange_;
     transport::HttpCaller watchCaller_; ///< Separate connections, because long polls would block other calls.
-    std::set<std::string> zonesOut_;
     transport::asio::steady_timer syncWake_; ///< Ends the pause of syncOperatorKeys().
     Instant watchNeededAt_{0}; ///< When this gateway last had to watch the store.
     bool wasStale_ = false; ///< Last state that reportStaleness() has logged.
--- a/src/gateway/tests/storesync_tests.cpp
+++ b/src/gateway/tests/storesync_tests.cpp
@@ -49,6 +49,8 @@
     int ranges = 0;
     int registrations = 0;
     std::vector<std::string> upstreams; ///< Items of the registered upstreams.
+    std::vector<std::pair<int, std::string>> zoneChanges; ///< Events of zones out of service, with their revision.
+    framework::milliseconds rangeDelay{0}; ///< Time after which a read of the operators' keys is answered, as of when it arrived.
     bool watchesWait = false; ///< Watches are answered when their wait ends, as by a store without changes.
     framework::Instant answeredAt{0}; ///< When the last call was answered.
     std::deque<Behaviour> watches; ///< Behaviour of the next watches; Answer once empty.
@@ -108,12 +110,17 @@
             co_await transport::sleepFor(std::chrono::milliseconds{wait});
             answeredAt = framework::monotonicNow();
             const int after = std::stoi(transport::queryValue(request.target, "after"));
-            const std::string events = after < revision ? config() : "";
+            std::string events = after < revision ? config() : "";
+            for (const auto &[changedAt, event] : zoneChanges) {
+                events += after < changedAt ? (events.empty() ? "" : ",") + event : "";
+            }
             ++watchesAnswered;
             co_await send(connection, reply(200, R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(revision) + "}"));
         } else if (request.target.starts_with("/-/kv-range?prefix=op/")) {
             ++ranges;
-            co_await send(connection, reply(200, R"({"items":[)" + config() + R"(],"has_more":false,"store_revision":)" + now + "}"));
+            const std::string items = config();
+            co_await transport::sleepFor(rangeDelay);
+            co_await send(connection, reply(200, R"({"items":[)" + items + R"(],"has_more":false,"store_revision":)" + now + "}"));
         } else if (request.target.starts_with("/-/kv-range?prefix=servers/")) {
             co_await send(connection, reply(200, R"({"items":[)" + upstreamItems() + R"(],"has_more":false,"store_revision":)" + now + "}"));
         } else if (request.target.starts_with("/-/kv-range")) {
@@ -191,6 +198,32 @@
     CHECK(fixture.store.ranges >= 2);
 }
 
+// Guards against requests to an emptied zone: a read of the operators' keys that was answered late cleared the zones that peers had told meanwhile,
+// and the next change of any zone put the old set in force.
+TEST(StoreSync, zoneThatWasEmptiedDuringALateReadStaysOutOfService)
+{
+    GatewayContext &context = fixture.world.context;
+    fixture.sync->start();
+    fixture.world.runUntil([&] { return fixture.version() == 1 && fixture.store.watchesAnswered > 0; }, std::chrono::seconds{3});
+    fixture.store.rangeDelay = std::chrono::milliseconds{240};
+    fixture.store.watches = {Behaviour::HistoryCompacted};
+    fixture.world.runUntil([&] { return fixture.store.ranges == 2; }, std::chrono::seconds{3});
+    LONGS_EQUAL(2, fixture.store.ranges);
+    // While the read is under way, zone b is emptied and a peer tells of it.
+    const int64_t emptiedAt = fixture.store.revision + 1;
+    context.view.applyZonesOut({"b"}, emptiedAt);
+    const configsync::KeyRevisions own{context.view.configRevision(), context.view.zonesRevision(), context.view.zonesDigest()};
+    context.currency.onApplied(own);
+    const framework::Instant now = framework::monotonicNow();
+    context.currency.onPeerReport({own, emptiedAt, std::chrono::milliseconds{0}}, now, now);
+    fixture.world.runUntil([] { return false; }, std::chrono::milliseconds{400});
+    CHECK(context.view.zonesOut() == (std::set<std::string>{"b"}));
+    fixture.store.revision += 5;
+    fixture.store.zoneChanges = {{fixture.store.revision, itemOf("op/evacuate/a", "1", fixture.store.revision)}};
+    fixture.world.runUntil([&] { return context.view.zoneOut("a"); }, std::chrono::seconds{2});
+    CHECK(context.view.zonesOut() == (std::set<std::string>{"a", "b"}));
+}
+
 TEST(StoreSync, watchResumesAfterConnectionLoss)
 {
     fixture.store.watches = {Behaviour::Close, Behaviour::Close};
