fleet: an entry of an upstream is never replaced by an older one of a newer list

A list of more than a page takes the lowest revision of its pages, so that some entries are newer than the list. A list of a peer with a revision in between brought a draining upstream back to ready, and removed one registered after it, until the next read. Change: entries are compared by their own revisions, and a list says nothing about what was registered after it. Evidence: entryOfANewerListDoesNotReplaceANewerEntry fails on (ready instead of draining) and passes now.

--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -47,12 +47,13 @@
     for (const StoredItem &item : snapshot.items) {
         registeredIds.insert(item.key);
         const auto known = upstreams_.find(item.key);
-        if (known != upstreams_.end() && known->second.revision == item.revision) {
+        // The pages of a long list are read one after the other, so an entry may be newer than its list, and than that of a newer list.
+        if (known != upstreams_.end() && known->second.revision >= item.revision) {
             known->second.missingSince = Instant{0};
             continue;
         }
         const auto malformed = malformedUpstreams_.find(item.key);
-        if (malformed != malformedUpstreams_.end() && malformed->second == item.revision) {
+        if (malformed != malformedUpstreams_.end() && malformed->second >= item.revision) {
             continue;
         }
         std::optional<Upstream> decoded = decoder_.upstream(item.key, item.value);
@@ -69,7 +70,7 @@
         upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}});
     }
     for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
-        if (registeredIds.contains(entry->first)) {
+        if (registeredIds.contains(entry->first) || entry->second.revision > snapshot.revision) {
             ++entry;
         } else if (now < lapsedGraceUntil_ && entry->second.upstream.state == UpstreamState::Ready) {
             if (entry->second.missingSince == Instant{0}) {
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -169,6 +169,17 @@
     CHECK(view.upstreams().contains("after"));
 }
 
+// Guards against a draining upstream that is ready again: of a list whose pages were read one after the other, some entries are newer than the list.
+TEST(FleetView, entryOfANewerListDoesNotReplaceANewerEntry)
+{
+    upstreams(10, {{"early", "ready", 9}, {"leaving", "draining", 15}, {"added", "ready", 16}});
+    upstreams(12, {{"early", "ready", 9}, {"leaving", "ready", 8}});
+    CHECK(UpstreamState::Draining == view.upstreams().at("leaving").upstream.state);
+    CHECK(view.upstreams().contains("added"));
+    upstreams(17, {{"early", "ready", 9}});
+    LONGS_EQUAL(1, view.upstreams().size());
+}
+
 TEST(FleetView, olderZonesOutOfServiceAreIgnored)
 {
     CHECK(view.applyZonesOut({"a"}, 5));
