gateway: whether API keys are required is a value of the configuration, not a matter of how many organisations it has

Cause: Exchange::run() asked for a key only if the list of organisations was not empty, and decoding made no difference between a list that is absent, empty, null or unreadable. Class: a missing or odd field switches a limit off. Ruled out: that the version was not in force (it was logged as applied), and that the lookup kept the old key (unknown keys ran too).

--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -112,7 +112,8 @@
     int64_t version = 0;
     std::vector<Route> routes;
     std::map<std::string, Service, std::less<>> services;
-    std::vector<Organisation> organisations; ///< Empty: API keys are not required.
+    bool apiKeysRequired = true; ///< On routes that are not public. Independent of the organisations, which may all be gone.
+    std::vector<Organisation> organisations;
     CallerLimits limits;
 };
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -76,7 +76,7 @@
     }
     const fleet::Route &route = *match_.route;
     priority_ = route.priority;
-    if (!match_.config->organisations.empty() && !route.isPublic) {
+    if (match_.config->apiKeysRequired && !route.isPublic) {
         const fleet::Organisation *organisation = request_.headers.apiKey.empty() ? nullptr : context_.view.organisationOf(request_.headers.apiKey);
         if (organisation == nullptr) {
             co_return co_await sendFailure(ResultCode::UnknownApiKey, 401);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -117,6 +117,22 @@
     LONGS_EQUAL(1, upstream.received.size());
 }
 
+// Guards against requests without a key, or with any key, being served once the last key has been taken away.
+TEST(Exchange, takingTheLastKeyAwayOpensNoRoute)
+{
+    auto &upstream = fixture->addUpstream("u1", "plain", answering("x"));
+    LONGS_EQUAL(200, fixture->call(request("GET", "/safe/")).status);
+    const std::string tenants = R"("tenants":[{"name":"org","api_keys":["key"],"priority":1}])";
+    for (const std::string none : {R"("tenants":[])", R"("tenants":null)", R"("tenants":[{"name":"org","api_keys":[]}])"}) {
+        std::string config = CONFIG;
+        fixture->configure(config.replace(config.find(tenants), tenants.size(), none));
+        LONGS_EQUAL(401, fixture->call(request("GET", "/safe/")).status);
+        LONGS_EQUAL(401, fixture->call("GET /safe/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r2\r\n\r\n").status);
+        LONGS_EQUAL(200, fixture->call("GET /open/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r3\r\n\r\n").status);
+    }
+    LONGS_EQUAL(4, upstream.received.size());
+}
+
 TEST(Exchange, refusesRequestsWithoutConfiguration)
 {
     keepForProcessLifetime(fixture);
