--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -193,7 +193,10 @@
     routesByHost_.clear();
     organisationByKey_.clear();
     for (const Route &route : config_->routes) {
-        routesByHost_[route.host].push_back(&route);
+        // An empty prefix would match all paths of the host.
+        if (route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+            routesByHost_[route.host].push_back(&route);
+        }
     }
     for (auto &[host, routes] : routesByHost_) {
         std::ranges::stable_sort(routes, [](const Route *a, const Route *b) { return a->prefix.size() > b->prefix.size(); });
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -84,6 +84,22 @@
     CHECK(view.findRoute("b.example", "/x/y/z").route == nullptr);
 }
 
+TEST(FleetView, routeWithoutAWholePrefixMatchesNothing)
+{
+    FleetView other{{[](std::string_view) {
+                         FleetConfig config;
+                         Route route;
+                         route.host = "a.example";
+                         config.routes = {route};
+                         config.routes.push_back(route);
+                         config.routes.back().prefix = "/x";
+                         return std::optional(config);
+                     },
+                     decodeTestUpstream}};
+    CHECK(other.applyConfig({"c", "1", 1}));
+    POINTERS_EQUAL(nullptr, other.findRoute("a.example", "/x/y").route);
+}
+
 TEST(FleetView, removedApiKeyIsUnknownAtOnce)
 {
     view.applyConfig({"c", "1old", 10});
