network: heads that libcurl accepts although they are none in the protocol end the call

Change: ResponseHead checks each line that libcurl reports; a malformed one ends the transfer as broken, before any byte of the body is passed on. A reset during an upload was no end there before either; answerWithoutLengthThatIsResetDuringAnUploadIsNotComplete keeps it so.

--- a/src/network/internal/httpclient.cpp
+++ b/src/network/internal/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "network/httpclient.h"
 
+#include "network/internal/responsehead.h"
+
 #include <curl/curl.h>
 
 #include <atomic>
@@ -104,7 +106,7 @@
         CURL *easy = nullptr;
         curl_slist *headers = nullptr;
         bool paused = false; ///< The duty's ring was full.
-        bool headComplete = false; ///< The blank line after the header fields of the last response has arrived.
+        ResponseHead head;
     };
 
     struct Finished
@@ -132,11 +134,8 @@
     static size_t onHeaderLine(char *bytes, size_t size, size_t count, void *user)
     {
         const std::string_view line(bytes, size * count);
-        auto *transfer = static_cast<Transfer *>(user);
-        const bool isBlank = line == "\r\n" || line == "\n";
-        // Lines of a trailer follow a complete head.
-        transfer->headComplete = isBlank || (transfer->headComplete && !line.starts_with("HTTP/"));
-        return line.size();
+        // Any other value than the size ends the transfer with an error.
+        return static_cast<Transfer *>(user)->head.addLine(line) ? line.size() : 0;
     }
 
     static void configure(Transfer &transfer)
@@ -219,7 +218,7 @@
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
             finished_.push_back(
-                {transfer->id, transfer->done, classify(message->easy_handle, message->data.result, transfer->headComplete), static_cast<int>(status)});
+                {transfer->id, transfer->done, classify(message->easy_handle, message->data.result, transfer->head.complete()), static_cast<int>(status)});
             remove(transfer->id);
         }
     }
--- a/src/network/tests/network_tests.cpp
+++ b/src/network/tests/network_tests.cpp
@@ -142,7 +142,9 @@
 class OneAnswerServer
 {
 public:
-    OneAnswerServer(uint16_t port, std::string answer) : answer_(std::move(answer)), descriptor_(socket(AF_INET, SOCK_STREAM, 0))
+    /// With @p resets, the connection is reset after the answer, instead of closed.
+    OneAnswerServer(uint16_t port, std::string answer, bool resets = false)
+        : answer_(std::move(answer)), resets_(resets), descriptor_(socket(AF_INET, SOCK_STREAM, 0))
     {
         const int enabled = 1;
         setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
@@ -169,10 +171,13 @@
         if (recv(connection, buffer, sizeof(buffer), 0) > 0) {
             ::send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
         }
+        const linger reset{resets_ ? 1 : 0, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
         close(connection);
     }
 
     std::string answer_;
+    bool resets_;
     int descriptor_;
     std::thread thread_;
 };
@@ -325,6 +330,7 @@
     Mailbox<CallResult> results;
     std::string body;
     bool ownConnection = false;
+    std::string upload; ///< Sent by POST if not empty.
 
     void setup() override
     {
@@ -353,6 +359,8 @@
             network::HttpCall request;
             request.url = url;
             request.ownConnection = ownConnection;
+            request.method = upload.empty() ? request.method : "POST";
+            request.body = upload;
             network::HttpCallHooks hooks;
             hooks.data = [this](int, std::string_view bytes) { body += bytes; };
             hooks.done = [this](CallResult result, int) { results.put(result); };
@@ -399,6 +407,35 @@
     CHECK(results.take() == CallResult::Complete);
 }
 
+// Guards against bytes of an upstream in trouble being taken for its answer: libcurl accepts such heads.
+TEST(HttpClientAndServer, answerWithAMalformedHeadIsNotComplete)
+{
+    using namespace std::string_literals;
+    for (const std::string &start :
+         {"HTTP/1.1 000 X"s, "HTTP/1.1 099 X"s, "HTTP/1.1 600 X"s, "HTTP/1.1 999 X"s, "HTTP/1.1 101 X"s, "HTTP/1.7 200 X"s, "HTTP/1.1 200 OK\r\nOdd Name: x"s,
+          "HTTP/1.1 200 OK\r\n Odd: x"s, "HTTP/1.1 200 OK\r\nA: b\r\n Odd: x"s, "HTTP/1.1 200 OK\r\nOdd\x01Name: x"s, "HTTP/1.1 200 OK\r\nOdd\0Name: x"s,
+          "HTTP/1.1 200 OK\r\nOdd\xc3: x"s, "HTTP/1.1 200 OK\r\n: x"s, "HTTP/1.1 200 OK\r\nOdd"s, "HTTP/1.1 200 OK\r\nOdd: a\x01z"s,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip"s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip"s}) {
+        body.clear();
+        const OneAnswerServer odd(18097, start + "\r\nContent-Length: 2\r\n\r\nab");
+        call("http://127.0.0.1:18097/x");
+        CHECK(results.take() == CallResult::Broken);
+        STRCMP_EQUAL("", body.c_str());
+    }
+}
+
+TEST(HttpClientAndServer, answerWithoutLengthThatIsResetDuringAnUploadIsNotComplete)
+{
+    upload.assign(8'000'000, 'x');
+    for (const std::string part : {"", "part"}) {
+        for (int i = 0; i < 5; ++i) {
+            const OneAnswerServer faulty(18096, "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r\n" + part, true);
+            call("http://127.0.0.1:18096/x");
+            CHECK(results.take() != CallResult::Complete);
+        }
+    }
+}
+
 TEST(HttpClientAndServer, repeatedRefusalIsNotTakenForTheAnswerOfACallWithItsOwnConnection)
 {
     ownConnection = true;
