gateway: a kept connection is held to the limits in force when its request begins

Cause: limits and parser for the next request were taken when the one before it had ended. Class: a value of the configuration that is read before what it governs begins. Change: the session waits for the first bytes of a request, then takes the limits. The idle limit is asked for again at each wake.

--- a/src/gateway/internal/callersession.cpp
+++ b/src/gateway/internal/callersession.cpp
@@ -7,7 +7,6 @@
 #include <boost/algorithm/string/predicate.hpp>
 
 #include <algorithm>
-#include <optional>
 
 namespace daisymount::gateway
 {
@@ -37,7 +36,7 @@
 {
     int errorStatus = 0; ///< Status of the error response, 0 when the request is complete or the connection was closed.
     bool complete = false;
-    Instant receivedAt{0};
+    Instant receivedAt{0}; ///< When the first bytes had arrived.
 };
 
 /// Adds the size of one buffered request body to the process-wide total while the object exists.
@@ -97,21 +96,32 @@
     }
 }
 
-asio::awaitable<ReadResult> readRequest(GatewayContext &context, transport::Connection &connection, HttpReader &reader, BodyMemoryReservation &bodyMemory)
+/// Waits for the first bytes of the next request. Returns false if the connection has ended or was idle for too long.
+asio::awaitable<bool> waitForRequest(GatewayContext &context, transport::Connection &connection)
+{
+    const Instant idleSince = framework::monotonicNow();
+    while (connection.receiveBuffer().empty()) {
+        // The configuration may change while the connection is idle.
+        const Instant idleEnd = idleSince + context.view.config()->limits.idleTimeout;
+        if (!connection.open() || framework::monotonicNow() >= idleEnd) {
+            co_return false;
+        }
+        co_await connection.waitForBytes(0, idleEnd);
+    }
+    co_return true;
+}
+
+/// Reads the request whose first bytes have arrived.
+asio::awaitable<ReadResult> readRequest(GatewayContext &context, transport::Connection &connection, HttpReader &reader, milliseconds pauseLimit,
+                                        BodyMemoryReservation &bodyMemory)
 {
-    const fleet::CallerLimits limits = context.view.config()->limits;
     ReadResult outcome;
+    outcome.receivedAt = framework::monotonicNow();
+    const ScopedCounter readingCounter(context.requestsBeingRead);
     bool continueSent = false;
-    std::optional<ScopedCounter> readingCounter;
-    const Instant idleSince = framework::monotonicNow();
     while (!reader.done()) {
         connection.consume(reader.feed(connection.receiveBuffer()));
         const Instant now = framework::monotonicNow();
-        const bool started = reader.headDone() || !connection.receiveBuffer().empty();
-        if (started && outcome.receivedAt == Instant{0}) {
-            outcome.receivedAt = now;
-            readingCounter.emplace(context.requestsBeingRead);
-        }
         if (reader.failed()) {
             outcome.errorStatus = errorStatusOf(reader.state());
             co_return outcome;
@@ -133,18 +143,15 @@
             }
             continue;
         }
-        const Instant idleEnd = idleSince + limits.idleTimeout;
-        // The header timeout covers the entire head. For the body, the same limit applies to each pause between received parts.
-        const Instant deadline = !started ? idleEnd : reader.headDone() ? now + limits.headerTimeout : outcome.receivedAt + limits.headerTimeout;
-        if (now >= deadline) {
-            outcome.errorStatus = started ? REQUEST_TIMEOUT : 0;
-            co_return outcome;
-        }
+        // The limit covers the entire head. For the body, it applies to each pause between received parts.
+        const Instant deadline = (reader.headDone() ? now : outcome.receivedAt) + pauseLimit;
         const size_t known = connection.receiveBuffer().size();
-        co_await connection.waitForBytes(known, deadline);
+        if (now < deadline) {
+            co_await connection.waitForBytes(known, deadline);
+        }
         const bool arrived = connection.receiveBuffer().size() > known;
         if (!arrived && connection.open() && framework::monotonicNow() >= deadline) {
-            outcome.errorStatus = started ? REQUEST_TIMEOUT : 0;
+            outcome.errorStatus = REQUEST_TIMEOUT;
             co_return outcome;
         }
     }
@@ -188,11 +195,12 @@
 asio::awaitable<void> serveCaller(GatewayContext &context, transport::ConnectionPtr connection)
 {
     context.acceptedAt = framework::monotonicNow();
-    while (connection->open() || !connection->receiveBuffer().empty()) {
+    while (co_await waitForRequest(context, *connection)) {
+        // Taken when the request begins: those in force when the connection became idle may be of an old version.
         const fleet::CallerLimits limits = context.view.config()->limits;
         HttpReader reader(HttpReader::MessageType::Request, limits.headerBytes, limits.bodyBytes);
         BodyMemoryReservation bodyMemory(context);
-        const ReadResult outcome = co_await readRequest(context, *connection, reader, bodyMemory);
+        const ReadResult outcome = co_await readRequest(context, *connection, reader, limits.headerTimeout, bodyMemory);
         if (!outcome.complete) {
             if (outcome.errorStatus != 0) {
                 co_await sendReadError(context, *connection, reader, outcome.errorStatus);
@@ -200,7 +208,7 @@
             break;
         }
         bodyMemory.reserve(reader.body().size());
-        Exchange exchange(context, connection, buildRequest(reader, outcome.receivedAt == Instant{0} ? framework::monotonicNow() : outcome.receivedAt));
+        Exchange exchange(context, connection, buildRequest(reader, outcome.receivedAt));
         if (!co_await exchange.run()) {
             if (!exchange.responseComplete()) {
                 connection->close();
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -379,6 +379,47 @@
     LONGS_EQUAL(0, upstream.received.size());
 }
 
+namespace
+{
+/// Sends requests on one connection, each after the answer to the one before, and calls @p between before each further one.
+asio::awaitable<void> callOnOneConnection(GatewayFixture *in, std::vector<std::string> requests, std::function<void()> between, std::vector<int> *statuses)
+{
+    const transport::ConnectionPtr connection = co_await transport::connectTo(in->reactor.get_executor(), in->endpoint(), std::chrono::seconds{1});
+    const framework::Instant deadline = framework::monotonicNow() + std::chrono::seconds{3};
+    for (const std::string &bytes : requests) {
+        if (!statuses->empty()) {
+            between();
+        }
+        co_await connection->write(bytes, std::chrono::seconds{1});
+        transport::HttpReader reader(transport::HttpReader::MessageType::Response, 1U << 16U, 1U << 20U);
+        while (!reader.done() && connection->open() && framework::monotonicNow() < deadline) {
+            co_await connection->waitForBytes(connection->receiveBuffer().size(), deadline);
+            connection->consume(reader.feed(connection->receiveBuffer()));
+        }
+        statuses->push_back(reader.done() ? reader.status() : 0);
+    }
+    connection->close();
+}
+} // namespace
+
+// Guards against proper requests being denied on a kept connection that is still held to the limits of an old version.
+TEST(Exchange, keptConnectionIsHeldToTheLimitsInForceWhenItsRequestBegins)
+{
+    fixture->addUpstream("u1", "plain", answering("x"));
+    std::string larger = CONFIG;
+    larger.replace(larger.find("100000"), 6, "200000");
+    std::vector<int> statuses;
+    asio::co_spawn(fixture->reactor,
+                   callOnOneConnection(
+                       fixture.get(), {request("POST", "/unsafe/", "", "small"), request("POST", "/unsafe/", "", std::string(150'000, 'x'))},
+                       [&] { fixture->configure(larger); }, &statuses),
+                   asio::detached);
+    fixture->runUntil([&] { return statuses.size() == 2; }, std::chrono::seconds{4});
+    LONGS_EQUAL(2, statuses.size());
+    LONGS_EQUAL(200, statuses.front());
+    LONGS_EQUAL(200, statuses.back());
+}
+
 TEST(Exchange, forwardsCompleteBodyOfChunkedRequest)
 {
     auto &upstream = fixture->addUpstream("u1", "plain", answering("x"));
