Tests: the end of an endless body is awaited at the upstream as in the tests beside it

endlessBodyIsNeverMarkedComplete failed once (of some 45 runs): the caller's end may be handled as the last event of a turn of the test's loop, and the upstream's, reset before it, in the next one. Traced on: in 2 of 400 runs, ten beside each other, the upstream's connection was open at that moment and closed 5 ms later, after one more turn. The check stays; up to 1 s is waited for it, as in limitsEndlessEvent and others.

--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -221,6 +221,7 @@
     fixture->runUntil([&] { return ended; }, seconds{4});
     CHECK(ended);
     CHECK_FALSE(whole);
+    fixture->runUntil([&] { return !upstream.connections.front()->open(); }, seconds{1});
     CHECK_FALSE(upstream.connections.front()->open());
     CHECK(bytesInUse() < before + MAX_MEMORY_GROWTH);
 }
