gateway: a working attempt is given up only for a retry that is reserved

Cause: after three quarters of the caller's patience a stream was given up, and only then the retry budget and the choice of an upstream could say no. For engines the budget was asked but not consumed, so many streams could count on one retry; a safe request without a head ended with 502 after three objectives in the same way. Class: a working attempt is given up for one that may not be had. Change: reserveRetry() chooses the next upstream and consumes the retry in one step. Without either the attempt goes on, asks again at each check, and the log has one line with the reason (attempt_kept). Ruled out: the restart as such (it happens without one), and the upstreams (they were at work).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,6 +66,7 @@
         transport::HttpReader reader;
         bool headReceived = false;
         bool forOtherRequest = false; ///< The response being read belongs to another request on the same connection.
+        bool keptReported = false; ///< The log has the reason for which the attempt goes on although it makes no progress.
         bool truncated = false; ///< The stream has ended inside an event.
         bool streaming = false; ///< The response is relayed to the caller as a stream of server-sent events.
         AttemptOutcome headOutcome = AttemptOutcome::MayHaveRun; ///< Outcome according to the response head, valid once the head has been received.
@@ -106,8 +107,10 @@
     bool isEventStream(const Attempt &attempt) const;
     /// Decides whether to stop reading a response body that is not relayed, since it may never end. Returns an empty value to go on reading.
     std::optional<AttemptOutcome> abandonUnrelayedBody(Attempt &attempt, Instant now);
-    /// Returns true when the stream has made no progress for so long that the attempt has to be ended.
+    /// Returns true when the stream has made no progress for so long that its caller has left.
     bool isStreamStalled(const Attempt &attempt, Instant now) const;
+    /// Returns true when an attempt without progress should be followed by one at another upstream.
+    bool isRetryDue(const Attempt &attempt, Instant now) const;
     /// Time without an event after which callers abandon a stream of the route.
     Duration streamPatience() const;
     /// Returns true when the upstream does not respond while others do, and the stream can be continued at one of these.
@@ -149,6 +152,9 @@
     void recordCrashEvidence(const Attempt &attempt, AttemptOutcome outcome, Instant now);
     /// Consumes one retry from the service's budget. Returns false when this gateway's share is used up.
     bool consumeRetryBudget(Instant now);
+    /// Prepares to give up an attempt that makes no progress but may still end well: chooses the upstream for the next one and consumes the retry. Returns
+    /// false if either cannot be had, so that the attempt must go on.
+    bool reserveRetry(Attempt &attempt, Instant now);
 
     transport::asio::awaitable<bool> sendRefusal(framework::ResultCode code, milliseconds retryAfter);
     transport::asio::awaitable<bool> sendFailure(framework::ResultCode code, int status);
@@ -179,6 +185,7 @@
     Instant callerDeadline_{0}; ///< When the caller stops waiting for the response.
     Instant deadline_{0}; ///< The earlier of the caller's deadline and the route's timeout.
     std::vector<std::string> triedUpstreams_;
+    std::optional<dispatch::Placement> reservedRetry_; ///< Upstream of the next attempt, whose retry is consumed.
     Instant firstSentAt_{0}; ///< When the request was first passed on, 0 if it was not.
     std::optional<DrainEstimate> drainEstimate_; ///< Set if the request was passed on while this gateway was draining.
     size_t bytesRelayed_ = 0; ///< Of the response's body.
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace daisymount::gateway
 {
@@ -171,16 +172,17 @@
             minRetryAfter = *delayBeforeExit;
             break;
         }
-        if (sendCount > 0) {
+        if (sendCount > 0 && !reservedRetry_) {
             changeGroup(now);
         }
-        auto decision = placeAttempt(sendCount == 0, now);
+        const bool isReserved = reservedRetry_.has_value();
+        dispatch::PlacementDecision decision = isReserved ? *std::exchange(reservedRetry_, std::nullopt) : placeAttempt(sendCount == 0, now);
         if (const auto *refusal = std::get_if<dispatch::Refusal>(&decision)) {
             lastCode = sendCount == 0 ? refusal->code : ResultCode::UpstreamFull;
             minRetryAfter = refusal->retryAfter;
             break;
         }
-        if (sendCount > 0 && !consumeRetryBudget(now)) {
+        if (sendCount > 0 && !isReserved && !consumeRetryBudget(now)) {
             lastCode = ResultCode::RetryBudgetSpent;
             break;
         }
--- a/src/gateway/internal/exchangeattempt.cpp
+++ b/src/gateway/internal/exchangeattempt.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace daisymount::gateway
 {
@@ -37,6 +38,8 @@
 constexpr int GIVE_UP_NUMERATOR = 19;
 constexpr int GIVE_UP_DENOMINATOR = 20;
 constexpr milliseconds SHUTDOWN_CHECK_INTERVAL{500};
+/// Interval at which a retry is asked for again for a request without a response head, if none was possible.
+constexpr milliseconds RETRY_CHECK_INTERVAL{50};
 /// Interval at which the silence of a stream's upstream is evaluated.
 constexpr milliseconds SILENCE_CHECK_INTERVAL{50};
 /// Maximum size of an error response's body that is passed on to the caller.
@@ -227,16 +230,14 @@
         if (const std::optional<AttemptOutcome> outcome = abandonUnrelayedBody(attempt, now)) {
             co_return *outcome;
         }
-        if ((attempt.streaming && isStreamStalled(attempt, now)) || shouldFailOver(attempt, now)) {
+        if (isStreamStalled(attempt, now) || (isRetryDue(attempt, now) && reserveRetry(attempt, now))) {
             co_return AttemptOutcome::MayHaveRun;
         }
         if (isWaitingInVain(attempt, now)) {
             co_return AttemptOutcome::Stalled;
         }
-        Instant waitUntil = attempt.headReceived ? deadline_ : std::min(deadline_, attempt.failoverAt);
-        if (now >= waitUntil) {
-            co_return AttemptOutcome::MayHaveRun;
-        }
+        const Instant retryCheckAt = std::max<Instant>(attempt.failoverAt, now + RETRY_CHECK_INTERVAL);
+        Instant waitUntil = attempt.headReceived ? deadline_ : std::min(deadline_, retryCheckAt);
         if (attempt.headReceived && (attempt.streaming || attempt.headOutcome != AttemptOutcome::Answered)) {
             waitUntil = std::min<Instant>(waitUntil, now + UNRELAYED_BODY_TIMEOUT);
         }
@@ -281,21 +282,52 @@
 
 bool Exchange::isStreamStalled(const Attempt &attempt, Instant now) const
 {
-    const fleet::Route &route = *match_.route;
-    const Duration silent = now - attempt.lastProgressAt;
-    const Duration patience = streamPatience();
-    if (silent > std::max<Duration>(context_.streamStallTimeout, patience)) {
+    return attempt.streaming && now - attempt.lastProgressAt > std::max<Duration>(context_.streamStallTimeout, streamPatience());
+}
+
+bool Exchange::isRetryDue(const Attempt &attempt, Instant now) const
+{
+    if (!attempt.headReceived && now >= attempt.failoverAt) {
         return true;
     }
     // Streams of engines are continued elsewhere by shouldFailOver(), since the engines of a group may all be waiting for one of them.
-    const bool canFailOver = route.idempotent() && !context_.dispatcher.hasEngines(service_) && static_cast<int>(triedUpstreams_.size()) < route.maxAttempts;
-    return canFailOver && silent > patience * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR;
+    const bool isSilent = attempt.streaming && !context_.dispatcher.hasEngines(service_)
+        && now - attempt.lastProgressAt > streamPatience() * FAILOVER_NUMERATOR / FAILOVER_DENOMINATOR;
+    return isSilent || shouldFailOver(attempt, now);
+}
+
+bool Exchange::reserveRetry(Attempt &attempt, Instant now)
+{
+    if (!canRetry(AttemptOutcome::MayHaveRun) || static_cast<int>(triedUpstreams_.size()) >= match_.route->maxAttempts) {
+        return false;
+    }
+    const bool hasBudget = context_.retryBudget.canRetry(service_, now);
+    if (hasBudget) {
+        const std::string group = group_;
+        changeGroup(now);
+        auto decision = placeAttempt(false, now);
+        if (auto *placement = std::get_if<dispatch::Placement>(&decision)) {
+            consumeRetryBudget(now);
+            reservedRetry_ = std::move(*placement);
+            return true;
+        }
+        group_ = group;
+    }
+    if (!std::exchange(attempt.keptReported, true)) {
+        context_.log.report({"forwarding",
+                             "attempt_kept",
+                             hasBudget ? ResultCode::NoUpstream : ResultCode::RetryBudgetSpent,
+                             request_.headers.requestId,
+                             {{"upstream", attempt.placement.upstream},
+                              {"service", service_},
+                              {"silent_ms", std::to_string(toMilliseconds(now - std::max(attempt.startedAt, attempt.lastProgressAt)).count())}}});
+    }
+    return false;
 }
 
 bool Exchange::shouldFailOver(const Attempt &attempt, Instant now) const
 {
-    return attempt.silenceId && static_cast<int>(triedUpstreams_.size()) < match_.route->maxAttempts && canRetry(AttemptOutcome::MayHaveRun)
-        && context_.silenceDetector.shouldFailOver(*attempt.silenceId, context_.listeningTime(now)) && context_.retryBudget.canRetry(service_, now);
+    return attempt.silenceId && context_.silenceDetector.shouldFailOver(*attempt.silenceId, context_.listeningTime(now));
 }
 
 Instant Exchange::firstEventLimit() const
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -281,6 +281,74 @@
     CHECK(std::stoll(received.field("X-Deadline-Ms")) > 3'600'000);
 }
 
+namespace
+{
+/// Sends two events, the second after three quarters of the time for which callers wait, and ends. Counts resumed streams as well.
+const Script PAUSING_STREAM = [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+    co_await send(connection, withId(STREAM_HEAD, received));
+    if (received.field("Last-Event-Id").empty()) {
+        co_await send(connection, event(1, "a"));
+        co_await transport::sleepFor(milliseconds{1'750});
+    }
+    co_await send(connection, event(2, "b") + LAST_CHUNK);
+};
+} // namespace
+
+// Guards against slow but sound streams being cut: they were given up before it was known whether they can be continued.
+TEST(UpstreamTrouble, slowStreamGoesOnIfNoRetryIsLeft)
+{
+    fixture->context.retryBudget = dispatch::RetryBudgetShare({0.0, 0.0, seconds{10}}, framework::monotonicNow());
+    auto &first = fixture->addUpstream("u1", "plain", PAUSING_STREAM);
+    auto &second = fixture->addUpstream("u2", "plain", PAUSING_STREAM);
+    const CallerResult result = fixture->call(request("POST", "/stream/"));
+    CHECK(result.complete);
+    CHECK(result.body.find("id: 2\n") != std::string::npos);
+    LONGS_EQUAL(1, first.received.size() + second.received.size());
+}
+
+TEST(UpstreamTrouble, slowStreamGoesOnIfNoOtherUpstreamIsUsable)
+{
+    auto &only = fixture->addUpstream("u1", "plain", PAUSING_STREAM);
+    const CallerResult result = fixture->call(request("POST", "/stream/"));
+    CHECK(result.complete);
+    LONGS_EQUAL(1, only.received.size());
+}
+
+TEST(UpstreamTrouble, ofManySlowStreamsOnlyThoseWithARetryAreGivenUp)
+{
+    // Two retries in the window.
+    fixture->context.retryBudget = dispatch::RetryBudgetShare({0.0, 2.5, seconds{10}}, framework::Instant{0});
+    auto &first = fixture->addUpstream("u1", "plain", PAUSING_STREAM);
+    auto &second = fixture->addUpstream("u2", "plain", PAUSING_STREAM);
+    constexpr size_t STREAMS = 8;
+    std::vector<CallerResult> results;
+    for (size_t i = 0; i < STREAMS; ++i) {
+        asio::co_spawn(fixture->reactor,
+                       sendAndReadResponse(fixture->reactor.get_executor(), fixture->endpoint(), request("POST", "/stream/", "r" + std::to_string(i)),
+                                           [&](const CallerResult &result) { results.push_back(result); }),
+                       asio::detached);
+    }
+    fixture->runUntil([&] { return results.size() == STREAMS; }, seconds{6});
+    LONGS_EQUAL(STREAMS, results.size());
+    for (const CallerResult &result : results) {
+        CHECK(result.complete);
+        CHECK(result.body.find("id: 2\n") != std::string::npos);
+    }
+    LONGS_EQUAL(STREAMS + 2, first.received.size() + second.received.size());
+}
+
+TEST(UpstreamTrouble, slowAnswerToASafeRequestIsWaitedForIfNoRetryIsLeft)
+{
+    fixture->context.retryBudget = dispatch::RetryBudgetShare({0.0, 0.0, seconds{10}}, framework::monotonicNow());
+    const Script slow = [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
+        co_await transport::sleepFor(milliseconds{1'300});
+        co_await send(connection, answer(received, "late"));
+    };
+    fixture->addUpstream("u1", "plain", slow);
+    fixture->addUpstream("u2", "plain", slow);
+    STRCMP_EQUAL("late", fixture->call(request("GET", "/safe/")).body.c_str());
+}
+
 TEST(UpstreamTrouble, resumesStreamThatSendsOnlyKeepAlives)
 {
     const Script dead = [](transport::ConnectionPtr connection, ReceivedRequest received) -> asio::awaitable<void> {
