fleet: a registration that the store carries out late changes nothing

Cause: the entry with the newer revision was taken for the newer word of the upstream. Revisions order what the store has done. Class: an older state that is written late. Change: FleetView remembers the last registration of each incarnation for a minute, also of removed ones. One with a lower sequence, or with the same one that turns draining into ready, is logged once (outdated_entry) and changes nothing. Ruled out: stale lists of peers (the entry was read from the store). The notices of leaving upstreams cannot help, since they come from answers.

--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -126,13 +126,14 @@
 struct Upstream
 {
     std::string id;
-    int64_t bornMs = 0; ///< Unix milliseconds; together with the id it identifies the incarnation.
+    int64_t bornMs = 0; ///< Unix milliseconds; together with the id it identifies the incarnation. 0 if unknown.
     std::string service;
     std::string address; ///< IP:port.
     std::string zone;
     int slots = 1;
     UpstreamState state = UpstreamState::Ready;
     milliseconds coldRemaining{0};
+    int64_t sequence = 0; ///< Of this registration among those of the incarnation. Never decreases in the order in which it sends them.
 };
 
 /// An incarnation of an upstream that has announced its shutdown.
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -92,12 +92,26 @@
     /// Called once for each entry of the upstreams that cannot be decoded, until the entry is valid or gone. Such an entry names no upstream.
     std::function<void(const StoredItem &)> onMalformedUpstream = [](const StoredItem &) {};
 
+    /// Called for each registration that is older than one known of the same incarnation: the store has carried out its write late. It changes nothing.
+    std::function<void(const StoredItem &)> onOutdatedUpstream = [](const StoredItem &) {};
+
     /// Running servers renew registrations that lapsed during a store outage within about two seconds.
     static constexpr Duration LAPSED_GRACE = milliseconds{2'200};
 
 private:
+    /// The newest registration of an upstream, kept for some time after it has been removed.
+    struct LastRegistration
+    {
+        int64_t bornMs = 0;
+        int64_t sequence = 0;
+        UpstreamState state = UpstreamState::Ready;
+        Instant seenAt{0};
+    };
+
     void buildLookupTables();
     void removeSuperseded();
+    /// Remembers @p upstream as the newest registration of its incarnation. Returns false if a newer one is known.
+    bool recordRegistration(const Upstream &upstream, Instant now);
 
     FleetDecoder decoder_;
     std::shared_ptr<const FleetConfig> config_; ///< Never null; version 0 before the first configuration.
@@ -106,6 +120,8 @@
     Snapshot upstreamItems_; ///< Its revision never decreases.
     std::map<std::string, KnownUpstream, std::less<>> upstreams_; ///< By id.
     std::map<std::string, int64_t, std::less<>> malformedUpstreams_; ///< Revision by id.
+    std::map<std::string, int64_t, std::less<>> outdatedUpstreams_; ///< Of registrations written late: revision by id.
+    std::map<std::string, LastRegistration, std::less<>> lastRegistrations_; ///< By id.
     Instant lapsedGraceUntil_{0}; ///< Missing upstreams are kept until this time.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< Longest prefix first.
     std::unordered_map<std::string, const Organisation *> organisationByKey_;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -9,6 +9,12 @@
 namespace daisymount::fleet
 {
 
+namespace
+{
+/// Time for which the last registration of an upstream that is gone is remembered. Writes that got no reply are carried out within seconds.
+constexpr framework::seconds REGISTRATION_MEMORY{60};
+} // namespace
+
 FleetView::FleetView(FleetDecoder decoder) : decoder_(std::move(decoder)), config_(std::make_shared<FleetConfig>())
 { }
 
@@ -52,6 +58,10 @@
             known->second.missingSince = Instant{0};
             continue;
         }
+        const auto outdated = outdatedUpstreams_.find(item.key);
+        if (outdated != outdatedUpstreams_.end() && outdated->second >= item.revision) {
+            continue;
+        }
         const auto malformed = malformedUpstreams_.find(item.key);
         if (malformed != malformedUpstreams_.end() && malformed->second >= item.revision) {
             continue;
@@ -66,6 +76,12 @@
             continue;
         }
         malformedUpstreams_.erase(item.key);
+        if (!recordRegistration(*decoded, now)) {
+            outdatedUpstreams_.insert_or_assign(item.key, item.revision);
+            onOutdatedUpstream(item);
+            continue;
+        }
+        outdatedUpstreams_.erase(item.key);
         const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
         upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}});
     }
@@ -82,9 +98,26 @@
         }
     }
     std::erase_if(malformedUpstreams_, [&](const auto &entry) { return !registeredIds.contains(entry.first); });
+    std::erase_if(outdatedUpstreams_, [&](const auto &entry) { return !registeredIds.contains(entry.first); });
+    for (auto &[id, last] : lastRegistrations_) {
+        last.seenAt = registeredIds.contains(id) ? now : last.seenAt;
+    }
+    std::erase_if(lastRegistrations_, [now](const auto &entry) { return now - entry.second.seenAt > REGISTRATION_MEMORY; });
     removeSuperseded();
 }
 
+bool FleetView::recordRegistration(const Upstream &upstream, Instant now)
+{
+    LastRegistration &last = lastRegistrations_[upstream.id];
+    const bool sameIncarnation = last.seenAt != Instant{0} && upstream.bornMs != 0 && upstream.bornMs == last.bornMs;
+    const bool comesBack = last.state == UpstreamState::Draining && upstream.state == UpstreamState::Ready;
+    if (sameIncarnation && (upstream.sequence < last.sequence || (upstream.sequence == last.sequence && comesBack))) {
+        return false;
+    }
+    last = {upstream.bornMs, upstream.sequence, upstream.state, now};
+    return true;
+}
+
 void FleetView::removeSuperseded()
 {
     // Ordered by store revision, since the clocks of upstreams may have been set back.
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -30,7 +30,7 @@
     return config;
 }
 
-/// Decodes "state" or "state@address"; without an address each upstream gets a unique one.
+/// Decodes "state", "state@address" or "state#sequence"; without an address each upstream gets a unique one, with a sequence an incarnation.
 std::optional<Upstream> decodeTestUpstream(std::string_view id, std::string_view value)
 {
     if (value == "bad") {
@@ -40,6 +40,10 @@
     upstream.id = id;
     const size_t at = value.find('@');
     upstream.address = at == std::string_view::npos ? "10.0.0.1:" + std::string(id) : std::string(value.substr(at + 1));
+    if (const size_t mark = value.find('#'); mark != std::string_view::npos) {
+        upstream.bornMs = 1;
+        upstream.sequence = std::stoll(std::string(value.substr(mark + 1)));
+    }
     upstream.state = value.starts_with("draining") ? UpstreamState::Draining : UpstreamState::Ready;
     return upstream;
 }
@@ -196,6 +200,42 @@
     LONGS_EQUAL(1, view.upstreams().size());
 }
 
+// Guards against requests to an upstream that has said it leaves: the store may carry out an earlier registration of it late.
+TEST(FleetView, lateRegistrationDoesNotBringADrainingUpstreamBack)
+{
+    int outdated = 0;
+    view.onOutdatedUpstream = [&](const StoredItem &) { ++outdated; };
+    upstreams(10, {{"u", "ready#4", 9}});
+    upstreams(12, {{"u", "draining#5", 12}});
+    for (int64_t revision = 14; revision < 17; ++revision) {
+        upstreams(revision, {{"u", "ready#2", 14}});
+        CHECK(UpstreamState::Draining == view.upstreams().at("u").upstream.state);
+    }
+    LONGS_EQUAL(1, outdated);
+    upstreams(18, {{"u", "ready#5", 18}});
+    CHECK(UpstreamState::Draining == view.upstreams().at("u").upstream.state);
+    upstreams(20, {{"u", "ready#6", 20}});
+    CHECK(UpstreamState::Ready == view.upstreams().at("u").upstream.state);
+}
+
+TEST(FleetView, lateRegistrationDoesNotBringARemovedUpstreamBack)
+{
+    upstreams(10, {{"u", "draining#5", 9}});
+    upstreams(12, {});
+    upstreams(14, {{"u", "ready#2", 14}});
+    CHECK(view.upstreams().empty());
+    upstreams(16, {{"u", "ready#6", 16}});
+    CHECK(view.upstreams().contains("u"));
+}
+
+TEST(FleetView, registrationAfterAStoreOutageCountsWithTheSameSequence)
+{
+    upstreams(10, {{"u", "ready#5", 9}});
+    upstreams(12, {});
+    upstreams(14, {{"u", "ready#5", 14}});
+    CHECK(view.upstreams().contains("u"));
+}
+
 TEST(FleetView, olderZonesOutOfServiceAreIgnored)
 {
     CHECK(view.applyZonesOut({"a"}, 5));
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -97,6 +97,9 @@
                     "",
                     {{"upstream", item.key}, {"revision", std::to_string(item.revision)}, {"bytes", std::to_string(item.value.size())}}});
     };
+    view.onOutdatedUpstream = [this](const fleet::StoredItem &item) {
+        log.report({"upstreams", "outdated_entry", ResultCode::Ok, "", {{"upstream", item.key}, {"revision", std::to_string(item.revision)}}});
+    };
     silenceDetector.onSilenceChanged = [this](std::string_view upstream, bool silent, framework::Duration silence) {
         metrics.onSilenceChange(silent);
         log.report({"upstreams",
