Tests: sixteen crashing requests at once exceed the bound of BUDGET in a simulation; a stand-in answers streams with events

The simulation knows whole requests, whose fingerprints are hashes, and that an entry has one trial of a suspect in flight.

CrashableUpstream answered a stream route with a body that was no event, "done" without a type. The stand-in sends an event with its type now; the checks are unchanged.

--- a/src/crashattribution/tests/trials_tests.cpp
+++ b/src/crashattribution/tests/trials_tests.cpp
@@ -28,6 +28,11 @@
 constexpr milliseconds ROUND_INTERVAL{300};
 constexpr milliseconds CONTACT_BOUND{3'000};
 constexpr size_t CRASHES_TO_RECOGNISE = 5;
+/// The same for requests that crash upstreams as a whole; it is the bound that callers are promised.
+constexpr size_t REQUEST_CRASHES_TO_RECOGNISE = 3;
+/// Crashes from which trials of whole requests and of parts are limited.
+constexpr size_t REQUEST_CRASHES_TO_LIMIT = 2;
+constexpr size_t PART_CRASHES_TO_LIMIT = 1;
 constexpr size_t MAX_SENDS_AFTER_CONTACT = 3;
 constexpr milliseconds RESTART_TIME{800};
 constexpr milliseconds CUT_TIME{5'000};
@@ -55,6 +60,7 @@
     bool restarts = false;
     bool cuts = false; ///< Groups of entries are cut off from the others for CUT_TIME.
     size_t fanout = 6;
+    bool wholeRequests = false; ///< The requests have no common part, and each is judged as a whole.
     seconds duration{40};
 };
 
@@ -92,7 +98,7 @@
     {
         Instant recognised{0};
         for (const auto &[part, crashes] : crashes_) {
-            const Instant from = crashes[std::min(crashes.size(), CRASHES_TO_RECOGNISE) - 1] + CONTACT_BOUND;
+            const Instant from = crashes[std::min(crashes.size(), crashesToRecognise()) - 1] + CONTACT_BOUND;
             recognised = std::max(recognised, from + CONTACT_BOUND);
             const auto &sends = sends_.at(part);
             const auto later = std::ranges::count_if(sends, [from](Instant at) { return at > from; });
@@ -125,6 +131,7 @@
         Instant sentAt{0};
         Instant endsAt{0};
         bool crashes = false;
+        std::optional<Fingerprint> trialOf; ///< Suspect that the request is a trial of.
     };
 
     struct SimulatedUpstream
@@ -146,6 +153,23 @@
         return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < probability;
     }
 
+    size_t crashesToRecognise() const
+    {
+        return load_.wholeRequests ? REQUEST_CRASHES_TO_RECOGNISE : CRASHES_TO_RECOGNISE;
+    }
+
+    /// Fingerprint of the request or part with @p number. Intervals of trials are spread by the fingerprints of requests, which are hashes.
+    Fingerprint fingerprintOf(Fingerprint number) const
+    {
+        return load_.wholeRequests ? framework::hash64(std::to_string(number)) : number;
+    }
+
+    /// What is judged of a request with the part @p number.
+    std::vector<Fingerprint> judgedParts(Fingerprint number) const
+    {
+        return load_.wholeRequests ? std::vector{fingerprintOf(number)} : std::vector{COMMON, number};
+    }
+
     static double perTick(double perSecond)
     {
         return perSecond * static_cast<double>(TICK.count()) / 1'000.0;
@@ -171,6 +195,7 @@
         const std::vector<Request> interrupted = std::move(upstream.running);
         upstream.running.clear();
         for (const Request &request : interrupted) {
+            endTrial(request);
             CrashAttribution &entry = entries_[request.entry];
             bool anySuspect = false;
             for (const Fingerprint part : request.parts) {
@@ -205,6 +230,7 @@
                 if (request.endsAt > now) {
                     return false;
                 }
+                endTrial(request);
                 for (const Fingerprint part : request.parts) {
                     entries_[request.entry].onAnswered(part, now);
                 }
@@ -213,6 +239,13 @@
         }
     }
 
+    void endTrial(const Request &request)
+    {
+        if (request.trialOf) {
+            trials_.erase({request.entry, *request.trialOf});
+        }
+    }
+
     bool isCut(size_t entry) const
     {
         return now < cutUntil_[entry];
@@ -241,7 +274,7 @@
             if (entry.status(part, now) == CrashStatus::Convicted) {
                 return false;
             }
-            const std::optional<TrialLimit> partLimit = entry.trialLimit(part, 1, now);
+            const std::optional<TrialLimit> partLimit = entry.trialLimit(part, load_.wholeRequests ? REQUEST_CRASHES_TO_LIMIT : PART_CRASHES_TO_LIMIT, now);
             if (partLimit && (!limit || partLimit->crashes > limit->crashes)) {
                 limit = partLimit;
             }
@@ -262,7 +295,8 @@
         if (limit) {
             const auto rank = [&](size_t index) { return framework::hash64(std::to_string(index), limit->suspect); };
             const auto before = std::ranges::count_if(std::views::iota(size_t{0}, entries_.size()), [&](size_t other) { return rank(other) > rank(number); });
-            if (static_cast<size_t>(before) >= limit->entries) {
+            // Each entry has one trial of a suspect in flight.
+            if (static_cast<size_t>(before) >= limit->entries || !trials_.emplace(number, limit->suspect).second) {
                 return false;
             }
             chosen = *std::ranges::max_element(up, {}, rank);
@@ -270,15 +304,16 @@
         if (!crashes) {
             sound_.back().limited = false;
         }
-        upstreams_[chosen].running.push_back({number, std::move(parts), now, now + (crashes ? TIME_TO_CRASH : SOUND_DURATION), crashes});
+        upstreams_[chosen].running.push_back(
+            {number, std::move(parts), now, now + (crashes ? TIME_TO_CRASH : SOUND_DURATION), crashes, limit ? std::optional(limit->suspect) : std::nullopt});
         return true;
     }
 
     void sendCrashing()
     {
         for (Fingerprint part = CRASHING; part < CRASHING + load_.crashing; ++part) {
-            if (chance(perTick(load_.crashingPerSecond)) && send({COMMON, part}, true)) {
-                countSend(part);
+            if (chance(perTick(load_.crashingPerSecond)) && send(judgedParts(part), true)) {
+                countSend(fingerprintOf(part));
             }
         }
     }
@@ -287,11 +322,11 @@
     {
         for (Fingerprint part = SOUND; part < SOUND + load_.sound; ++part) {
             if (chance(perTick(load_.soundPerSecond))) {
-                send({COMMON, part}, false);
+                send(judgedParts(part), false);
             }
         }
         if (chance(perTick(1.0))) {
-            send({COMMON, RARE + random_() % 500}, false);
+            send(judgedParts(RARE + random_() % 500), false);
         }
     }
 
@@ -347,7 +382,7 @@
             entries_[i].evaluate(now);
             for (const Fingerprint first : {SOUND, RARE}) {
                 for (Fingerprint part = first; part < first + 500; ++part) {
-                    if (entries_[i].status(part, now) == CrashStatus::Convicted) {
+                    if (entries_[i].status(fingerprintOf(part), now) == CrashStatus::Convicted) {
                         wronglyConvicted_.insert(part);
                     }
                 }
@@ -365,6 +400,7 @@
     std::vector<CrashAttribution> entries_;
     std::vector<SimulatedUpstream> upstreams_;
     std::vector<Message> inTransit_;
+    std::set<std::pair<size_t, Fingerprint>> trials_; ///< In flight, by entry.
     std::vector<Instant> cutUntil_; ///< By entry.
     size_t lastSender_ = 0;
     std::map<Fingerprint, std::vector<Instant>> sends_; ///< Times of requests at upstreams, by crashing part.
@@ -419,3 +455,19 @@
     }
     checkSeeds({.crashing = 3, .crashingPerSecond = 4.0, .otherCrashes = true}, 25);
 }
+
+TEST(Trials, severalCrashingRequestsAreRecognised)
+{
+    for (const size_t crashing : {size_t{1}, size_t{3}, size_t{8}}) {
+        checkSeeds({.entries = 3, .upstreams = 6, .crashing = crashing, .crashingPerSecond = 1.2, .sound = 18, .wholeRequests = true}, 25);
+    }
+}
+
+// Guards against a request that goes on crashing upstreams since so many others do at the same time that no crash counts against it.
+TEST(Trials, sixteenCrashingRequestsAreRecognised)
+{
+    for (const double perSecond : {0.5, 4.0, 16.0}) {
+        checkSeeds({.entries = 3, .upstreams = 6, .crashing = 16, .crashingPerSecond = perSecond, .sound = 18, .soundPerSecond = 4.0, .wholeRequests = true},
+                   25);
+    }
+}
--- a/src/gateway/tests/fleetfixture.h
+++ b/src/gateway/tests/fleetfixture.h
@@ -156,7 +156,11 @@
                 co_return;
             }
             co_await transport::sleepFor(PROCESSING_TIME);
-            co_await send(connection, answer(request, "done"));
+            std::string reply = answer(request, "done");
+            if (request.target.starts_with("/stream/")) {
+                reply = answer(request, "id: 1\ndata: done\n\n", "Content-Type: text/event-stream\r\n");
+            }
+            co_await send(connection, reply);
         }
     }
 
