gateway: logs and metrics tell the era of the store, versions, revisions and their source

Nothing told which version and revision a gateway had, from whom, and whether the store had come back from an older copy, so that the record of CONFIG and DRAIN fits three hypotheses.

A line new_era for each process and era with the one before it, who told of it and what is in force; outdated_answer and daisymount_store_outdated_answers_total for answers of an earlier era or of none; store_era in daisymount_state. Lines of a configuration have source, era, version and revision, and those before; lines of the upstreams' leaving and removal have incarnation, sequence, revision, era and source. Nothing is decided by the era yet.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -92,6 +92,12 @@
     /// Called once for each entry of the upstreams that cannot be decoded, until the entry is valid or gone. Such an entry names no upstream.
     std::function<void(const StoredItem &)> onMalformedUpstream = [](const StoredItem &) {};
 
+    /// Called when the list of upstreams first shows that an upstream leaves.
+    std::function<void(const KnownUpstream &)> onUpstreamLeaving = [](const KnownUpstream &) {};
+
+    /// Called when an upstream is dropped because it is no longer in the list.
+    std::function<void(const KnownUpstream &)> onUpstreamRemoved = [](const KnownUpstream &) {};
+
     /// Called for each registration that is older than one known of the same incarnation: the store has carried out its write late. It changes nothing.
     std::function<void(const StoredItem &)> onOutdatedUpstream = [](const StoredItem &) {};
 
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -83,7 +83,11 @@
         }
         outdatedUpstreams_.erase(item.key);
         const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
-        upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}});
+        const bool wasLeaving = known != upstreams_.end() && known->second.upstream.state == UpstreamState::Draining;
+        const auto applied = upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}}).first;
+        if (applied->second.upstream.state == UpstreamState::Draining && !wasLeaving) {
+            onUpstreamLeaving(applied->second);
+        }
     }
     for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
         if (registeredIds.contains(entry->first) || entry->second.revision > snapshot.revision) {
@@ -94,6 +98,7 @@
             }
             ++entry;
         } else {
+            onUpstreamRemoved(entry->second);
             entry = upstreams_.erase(entry);
         }
     }
--- a/src/gateway/convictionstore.h
+++ b/src/gateway/convictionstore.h
@@ -29,7 +29,7 @@
     transport::asio::awaitable<void> load();
     transport::asio::awaitable<void> persist(crashattribution::Fingerprint fingerprint);
     transport::asio::awaitable<void> remove(crashattribution::Fingerprint fingerprint);
-    transport::asio::awaitable<transport::HttpReply> call(std::string_view name, platform::HttpCall call);
+    transport::asio::awaitable<StoreReply> call(std::string_view name, platform::HttpCall call);
     bool isDesignatedWriter() const;
 
     GatewayContext &context_;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -21,8 +21,10 @@
 #include "gateway/gatewaylog.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/loadcontrol.h"
+#include "gateway/storeclient.h"
 #include "gateway/upstreampool.h"
 #include "peers/peertable.h"
+#include "storeera/eratracker.h"
 #include "transport/httpcaller.h"
 
 #include <functional>
@@ -40,6 +42,7 @@
     transport::asio::any_io_executor executor;
     framework::LoopPauses loopPauses;
     fleet::FleetView view;
+    storeera::EraTracker storeEra; ///< Of everything in view that was read from the store.
     configsync::ConfigCurrency currency; ///< Of the operators' keys in view.
     dispatch::Dispatcher dispatcher;
     dispatch::GroupDirectory groups; ///< Empty if engines are admitted by slots.
@@ -52,6 +55,7 @@
     dispatch::RetryBudgetShare retryBudget;
     UpstreamPool pool;
     transport::HttpCaller httpClient;
+    StoreClient store;
     peers::PeerTable peers;
     crashattribution::CrashAttribution crashes;
     CrashDetector crashDetector;
@@ -91,6 +95,8 @@
     Instant listeningTime(Instant now) const;
     /// True if the settings ask to refuse requests, because nothing has shown for too long that the configuration is current.
     bool mustRefuseAsStale(Instant now) const;
+    /// Logs a call to @p target, "store" or the name of a peer, that began at @p begin and ended without a useful reply.
+    void reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin);
 
     GatewayContext(fleet::NodeSettings nodeSettings, const transport::asio::any_io_executor &reactor, peers::Peer self, uint64_t seed);
 };
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -33,6 +33,8 @@
     void onRetry(std::string_view service, bool allowed);
     /// Records a call to the store. @p result is "ok", the name of a result code, an HTTP status or "no_reply".
     void onStoreCall(std::string_view call, std::string_view result);
+    /// The store answered @p call without its era, or with an earlier one than it had told.
+    void onOutdatedAnswer(std::string_view call);
     /// An upstream was found silent, or responds again.
     void onSilenceChange(bool silent);
     /// Records an event of crash attribution. @p event is the name of the log event.
--- a/src/gateway/internal/convictionstore.cpp
+++ b/src/gateway/internal/convictionstore.cpp
@@ -86,12 +86,9 @@
     return std::ranges::none_of(others, [this](const peers::Peer &peer) { return peer.name < context_.settings.name; });
 }
 
-asio::awaitable<transport::HttpReply> ConvictionStore::call(std::string_view name, platform::HttpCall call)
+asio::awaitable<StoreReply> ConvictionStore::call(std::string_view name, platform::HttpCall call)
 {
-    transport::HttpReply reply
-        = co_await context_.httpClient.call(context_.settings.store.address, call.method, call.target, call.body, CALL_TIMEOUT, {}, MAX_REPLY_BYTES);
-    context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
-    co_return reply;
+    co_return co_await context_.store.call(context_.httpClient, name, std::move(call), CALL_TIMEOUT, MAX_REPLY_BYTES);
 }
 
 asio::awaitable<void> ConvictionStore::load()
@@ -99,7 +96,7 @@
     // Only the first page is read. More than a page would mean that hundreds of requests were convicted within ten minutes; the
     // remaining ones would soon be convicted again.
     while (true) {
-        const transport::HttpReply reply = co_await call("range", platform::rangeCall(KEY_PREFIX, "", platform::ReadConsistency::Stale));
+        const StoreReply reply = co_await call("range", platform::rangeCall(KEY_PREFIX, "", platform::ReadConsistency::Stale));
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(page, platform::decodePage(reply.status, reply.body));
             crashattribution::CrashUpdate storedUpdate;
@@ -134,7 +131,7 @@
     for (int attempt = 0; attempt < MAX_WRITE_ATTEMPTS; ++attempt) {
         const milliseconds refused = context_.crashes.remainingRejection(fingerprint, framework::monotonicNow());
         const milliseconds lifetime = std::max(refused, context_.settings.store.leaseTtlMin);
-        const transport::HttpReply granted = co_await call("lease", platform::grantLeaseCall(lifetime));
+        const StoreReply granted = co_await call("lease", platform::grantLeaseCall(lifetime));
         platform::StoreTransaction transaction;
         result = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(lease, platform::decodeLease(granted.status, granted.body));
@@ -145,7 +142,7 @@
             return {};
         });
         if (result) {
-            const transport::HttpReply written = co_await call("txn", platform::transactionCall(transaction));
+            const StoreReply written = co_await call("txn", platform::transactionCall(transaction));
             result = framework::evaluate([&]() -> framework::Result<void> {
                 BOOST_LEAF_CHECK(platform::decodeTransaction(written.status, written.body));
                 return {};
@@ -165,7 +162,7 @@
 {
     platform::StoreTransaction transaction;
     transaction.removals.push_back(storeKey(fingerprint));
-    const transport::HttpReply reply = co_await call("txn", platform::transactionCall(transaction));
+    const StoreReply reply = co_await call("txn", platform::transactionCall(transaction));
     context_.log.report({"crashes",
                          "conviction_removed",
                          reply.status == 200 ? ResultCode::Ok : ResultCode::StoreDown,
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -351,6 +351,8 @@
                           {"first_ms", std::to_string(toMilliseconds(timeToFirstByte_).count())},
                           {"longest_pause_ms", std::to_string(toMilliseconds(longestPause_).count())},
                           {"ms", std::to_string(toMilliseconds(total).count())},
+                          {"config_version", std::to_string(context_.view.config()->version)},
+                          {"store_era", std::to_string(context_.storeEra.current())},
                           {"config_revision", std::to_string(context_.view.configRevision())},
                           {"upstreams_revision", std::to_string(context_.view.upstreamsRevision())}}});
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -63,6 +63,36 @@
     std::random_device device;
     return device();
 }
+
+/// Logs an event of the registration of an upstream in the store.
+void reportRegistration(GatewayContext &context, std::string_view event, ResultCode code, const fleet::KnownUpstream &known)
+{
+    context.log.report({"upstreams",
+                        event,
+                        code,
+                        "",
+                        {{"upstream", known.upstream.id},
+                         {"born_ms", std::to_string(known.upstream.bornMs)},
+                         {"sequence", std::to_string(known.upstream.sequence)},
+                         {"revision", std::to_string(known.revision)},
+                         {"era", std::to_string(context.storeEra.current())},
+                         {"told_by", "list"}}});
+}
+
+void reportNewEra(GatewayContext &context, int64_t before, int64_t era, std::string_view toldBy)
+{
+    context.log.report({"store",
+                        "new_era",
+                        ResultCode::Ok,
+                        "",
+                        {{"era", std::to_string(era)},
+                         {"era_before", std::to_string(before)},
+                         {"told_by", std::string(toldBy)},
+                         {"config_version", std::to_string(context.view.config()->version)},
+                         {"config_revision", std::to_string(context.view.configRevision())},
+                         {"zones_revision", std::to_string(context.view.zonesRevision())},
+                         {"upstreams_revision", std::to_string(context.view.upstreamsRevision())}}});
+}
 } // namespace
 
 GatewayContext::GatewayContext(fleet::NodeSettings nodeSettings, const asio::any_io_executor &reactor, peers::Peer self, uint64_t seed)
@@ -76,6 +106,7 @@
     , retryBudget({settings.bounds.retryBudgetRatio, settings.bounds.retrySlack, settings.bounds.retryWindow}, framework::monotonicNow())
     , pool(reactor)
     , httpClient(reactor)
+    , store(*this)
     , peers(std::move(self),
             {.maxReaderAge = settings.bounds.drain * READER_FRESH_NUMERATOR / READER_FRESH_DENOMINATOR,
              .pausedWithin = [this](Instant from, Instant to) { return loopPauses.within(from, to); },
@@ -100,6 +131,9 @@
     view.onOutdatedUpstream = [this](const fleet::StoredItem &item) {
         log.report({"upstreams", "outdated_entry", ResultCode::Ok, "", {{"upstream", item.key}, {"revision", std::to_string(item.revision)}}});
     };
+    view.onUpstreamLeaving = [this](const fleet::KnownUpstream &known) { reportRegistration(*this, "leaving", ResultCode::Draining, known); };
+    view.onUpstreamRemoved = [this](const fleet::KnownUpstream &known) { reportRegistration(*this, "removed", ResultCode::Ok, known); };
+    storeEra.onNewEra = [this](int64_t before, int64_t era, std::string_view toldBy) { reportNewEra(*this, before, era, toldBy); };
     silenceDetector.onSilenceChanged = [this](std::string_view upstream, bool silent, framework::Duration silence) {
         metrics.onSilenceChange(silent);
         log.report({"upstreams",
@@ -131,6 +165,22 @@
     return loopPauses.listeningTime(now);
 }
 
+void GatewayContext::reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin)
+{
+    const Instant now = framework::monotonicNow();
+    const auto toMs = [](framework::Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
+    log.report({"store",
+                "call_failed",
+                ResultCode::ReplyLost,
+                "",
+                {{"target", std::string(target)},
+                 {"call", std::string(name)},
+                 {"status", std::to_string(reply.status)},
+                 {"bytes", std::to_string(reply.bytesReceived)},
+                 {"ms", toMs(now - begin)},
+                 {"own_pauses_ms", toMs(loopPauses.within(begin, now))}}});
+}
+
 bool GatewayContext::mustRefuseAsStale(Instant now) const
 {
     const std::optional<framework::Duration> age = currency.evidenceAge(now);
@@ -382,6 +432,7 @@
         context_.metrics.setGauge("limit_" + std::string(service), limit);
         context_.metrics.setGauge("in_flight_" + std::string(service), inFlight);
     });
+    context_.metrics.setGauge("store_era", static_cast<double>(context_.storeEra.current()));
     context_.metrics.setGauge("store_reachable", storeSync_.storeReachable() ? 1.0 : 0.0);
 }
 
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -43,6 +43,10 @@
                                                            .Register(registry);
     prometheus::Family<prometheus::Counter> &storeCalls
         = prometheus::BuildCounter().Name("daisymount_store_calls_total").Help("Calls to the platform's store by call and result.").Register(registry);
+    prometheus::Family<prometheus::Counter> &outdatedAnswers = prometheus::BuildCounter()
+                                                                   .Name("daisymount_store_outdated_answers_total")
+                                                                   .Help("Answers of the store of an earlier era, or of none, by call.")
+                                                                   .Register(registry);
     prometheus::Family<prometheus::Counter> &crashes
         = prometheus::BuildCounter().Name("daisymount_crash_events_total").Help("Crashed upstreams and the requests under way there.").Register(registry);
     prometheus::Family<prometheus::Counter> &silences = prometheus::BuildCounter()
@@ -108,6 +112,11 @@
     families_->storeCalls.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
 }
 
+void GatewayMetrics::onOutdatedAnswer(std::string_view call)
+{
+    families_->outdatedAnswers.Add({{"call", std::string(call)}}).Increment();
+}
+
 void GatewayMetrics::onCrashEvent(std::string_view event)
 {
     families_->crashes.Add({{"event", std::string(event)}}).Increment();
--- a/src/gateway/internal/maplease.cpp
+++ b/src/gateway/internal/maplease.cpp
@@ -111,8 +111,7 @@
 {
     const Instant requestedAt = bootTime();
     const platform::HttpCall grant = platform::grantLeaseCall(LEASE_TTL);
-    const transport::HttpReply granted
-        = co_await context_.httpClient.call(context_.settings.store.address, grant.method, grant.target, grant.body, STORE_CALL_TIMEOUT);
+    const StoreReply granted = co_await context_.store.call(context_.httpClient, "control_lease", grant, STORE_CALL_TIMEOUT);
     platform::StoreLease lease;
     const framework::Ret leased = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_ASSIGN(lease, platform::decodeLease(granted.status, granted.body));
@@ -125,8 +124,7 @@
     transaction.expected.push_back({std::string(LEASE_KEY), 0});
     transaction.writes.push_back({std::string(LEASE_KEY), context_.settings.name, 0, lease.id});
     const platform::HttpCall write = platform::transactionCall(transaction);
-    const transport::HttpReply written
-        = co_await context_.httpClient.call(context_.settings.store.address, write.method, write.target, write.body, STORE_CALL_TIMEOUT);
+    const StoreReply written = co_await context_.store.call(context_.httpClient, "control_txn", write, STORE_CALL_TIMEOUT);
     int64_t revision = 0;
     const framework::Ret done = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_ASSIGN(revision, platform::decodeTransaction(written.status, written.body));
@@ -146,8 +144,7 @@
 {
     const Instant requestedAt = bootTime();
     const platform::HttpCall keep = platform::renewLeaseCall(term_.leaseId());
-    const transport::HttpReply reply
-        = co_await context_.httpClient.call(context_.settings.store.address, keep.method, keep.target, keep.body, STORE_CALL_TIMEOUT);
+    const StoreReply reply = co_await context_.store.call(context_.httpClient, "control_keep", keep, STORE_CALL_TIMEOUT);
     const framework::Ret kept = framework::evaluate([&] { return platform::decodeLeaseRenewal(reply.status); });
     if (kept) {
         term_.onRenewed(requestedAt + LEASE_TTL - CLOCK_DRIFT_MARGIN);
@@ -162,7 +159,7 @@
 {
     const platform::HttpCall end = platform::revokeLeaseCall(term_.leaseId());
     drop(reason);
-    co_await context_.httpClient.call(context_.settings.store.address, end.method, end.target, end.body, STORE_CALL_TIMEOUT);
+    co_await context_.store.call(context_.httpClient, "control_lease_end", end, STORE_CALL_TIMEOUT);
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -110,7 +110,7 @@
     }
     std::set<std::string> zones;
     for (const platform::StoreItem &item : page.items) {
-        applyConfigItem(item);
+        applyConfigItem(item, "range");
         if (const std::optional<std::string_view> zone = evacuatedZone(item.key)) {
             zones.emplace(*zone);
         }
@@ -137,7 +137,7 @@
         for (const platform::StoreChange &change : changes.changes) {
             lastChange = std::max(lastChange, change.item.revision);
             if (!change.deleted) {
-                applyConfigItem(change.item);
+                applyConfigItem(change.item, name);
             }
             if (const std::optional<std::string_view> zone = evacuatedZone(change.item.key)) {
                 context_.view.applyZoneChange(*zone, !change.deleted, change.item.revision);
@@ -160,22 +160,30 @@
     co_return static_cast<bool>(read);
 }
 
-void StoreSync::applyConfigItem(const platform::StoreItem &item)
+void StoreSync::applyConfigItem(const platform::StoreItem &item, std::string_view source)
 {
     if (item.key != platform::CONFIG_KEY) {
         return;
     }
+    const fleet::StoredItem offered{item.key, item.value, item.revision};
+    const int64_t versionBefore = context_.view.config()->version;
+    const int64_t revisionBefore = context_.view.configRevision();
     const Duration behind = context_.currency.behindFor(framework::monotonicNow());
-    const bool applied = context_.view.applyConfig({item.key, item.value, item.revision});
+    const bool applied = context_.view.applyConfig(offered);
     const bool rejected = !applied && item.revision > context_.view.configRevision();
-    context_.log.report(
-        {"configuration",
-         applied        ? "applied"
-             : rejected ? "rejected"
-                        : "kept",
-         rejected ? ResultCode::BadMessage : ResultCode::Ok,
-         "",
-         {{"revision", std::to_string(item.revision)}, {"version", std::to_string(context_.view.config()->version)}, {"behind_ms", millisecondsText(behind)}}});
+    context_.log.report({"configuration",
+                         applied        ? "applied"
+                             : rejected ? "rejected"
+                                        : "kept",
+                         rejected ? ResultCode::BadMessage : ResultCode::Ok,
+                         "",
+                         {{"told_by", std::string(source)},
+                          {"era", std::to_string(context_.storeEra.current())},
+                          {"revision", std::to_string(item.revision)},
+                          {"version", std::to_string(context_.view.config()->version)},
+                          {"revision_before", std::to_string(revisionBefore)},
+                          {"version_before", std::to_string(versionBefore)},
+                          {"behind_ms", millisecondsText(behind)}}});
 }
 
 void StoreSync::reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision)
@@ -187,7 +195,10 @@
                                      event,
                                      ResultCode::ZoneOutOfService,
                                      "",
-                                     {{"availability_zone", zone}, {"revision", std::to_string(revision)}, {"told_by", std::string(source)}}});
+                                     {{"availability_zone", zone},
+                                      {"revision", std::to_string(revision)},
+                                      {"era", std::to_string(context_.storeEra.current())},
+                                      {"told_by", std::string(source)}}});
             }
         }
     };
@@ -289,7 +300,11 @@
                              "applied_from_peer",
                              ResultCode::Ok,
                              "",
-                             {{"peer", peer}, {"revision", std::to_string(snapshot->config.revision)}, {"behind_ms", millisecondsText(behind)}}});
+                             {{"peer", peer},
+                              {"era", std::to_string(context_.storeEra.current())},
+                              {"revision", std::to_string(snapshot->config.revision)},
+                              {"version", std::to_string(context_.view.config()->version)},
+                              {"behind_ms", millisecondsText(behind)}}});
     }
     const bool newZones = snapshot->zonesRevision > context_.view.zonesRevision();
     const std::set<std::string> before = context_.view.zonesOut();
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -69,37 +69,16 @@
     return delay - milliseconds{std::uniform_int_distribution<int64_t>(0, jitter)(context_.random)};
 }
 
-asio::awaitable<transport::HttpReply> StoreSync::call(std::string_view name, platform::HttpCall call, milliseconds timeout)
+asio::awaitable<StoreReply> StoreSync::call(std::string_view name, platform::HttpCall call, milliseconds timeout)
 {
-    const bool watch = name == "watch";
-    transport::HttpCaller &caller = watch ? watchCaller_ : context_.httpClient;
+    transport::HttpCaller &caller = name == "watch" ? watchCaller_ : context_.httpClient;
     const Instant begin = framework::monotonicNow();
-    transport::HttpReply reply = co_await caller.call(context_.settings.store.address, call.method, call.target, call.body, timeout, {}, MAX_STORE_REPLY_BYTES);
-    if (reply.status == 0) {
-        reportFailedCall("store", name, reply, begin);
-    }
+    StoreReply reply = co_await context_.store.call(caller, name, std::move(call), timeout, MAX_STORE_REPLY_BYTES);
     const bool answered = reply.status != 0 && reply.status != 429 && reply.status != 503;
-    context_.metrics.onStoreCall(name, reply.status == 0 ? "no_reply" : std::to_string(reply.status));
     recordStoreResponse(answered, begin);
     co_return reply;
 }
 
-void StoreSync::reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin)
-{
-    const Instant now = framework::monotonicNow();
-    const auto toMs = [](Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
-    context_.log.report({"store",
-                         "call_failed",
-                         ResultCode::ReplyLost,
-                         "",
-                         {{"target", std::string(target)},
-                          {"call", std::string(name)},
-                          {"status", std::to_string(reply.status)},
-                          {"bytes", std::to_string(reply.bytesReceived)},
-                          {"ms", toMs(now - begin)},
-                          {"own_pauses_ms", toMs(context_.loopPauses.within(begin, now))}}});
-}
-
 void StoreSync::recordStoreResponse(bool answered, Instant askedAt)
 {
     const Instant now = framework::monotonicNow();
@@ -136,7 +115,7 @@
 {
     std::string after;
     while (true) {
-        const transport::HttpReply reply = co_await call("range", platform::rangeCall(prefix, after, freshness), CALL_TIMEOUT);
+        const StoreReply reply = co_await call("range", platform::rangeCall(prefix, after, freshness), CALL_TIMEOUT);
         bool more = false;
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(page, platform::decodePage(reply.status, reply.body));
@@ -314,7 +293,7 @@
     const Instant begin = framework::monotonicNow();
     const transport::HttpReply reply = co_await context_.httpClient.call(address, "GET", std::string(page), "", timeout, {}, MAX_SNAPSHOT_BYTES);
     if (reply.status != 200) {
-        reportFailedCall(peer, page, reply, begin);
+        context_.reportFailedCall(peer, page, reply, begin);
         co_return std::nullopt;
     }
     std::optional<peers::FleetSnapshot> snapshot;
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -71,15 +71,14 @@
     /// Fetches @p page of a peer. Returns an empty value if the request fails or the reply is invalid.
     transport::asio::awaitable<std::optional<peers::FleetSnapshot>> fetchPage(std::string peer, std::string ip, std::string_view page, milliseconds timeout);
 
-    transport::asio::awaitable<transport::HttpReply> call(std::string_view name, platform::HttpCall call, milliseconds timeout);
+    transport::asio::awaitable<StoreReply> call(std::string_view name, platform::HttpCall call, milliseconds timeout);
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
-    void applyConfigItem(const platform::StoreItem &item);
+    /// @p source is the call that returned @p item.
+    void applyConfigItem(const platform::StoreItem &item, std::string_view source);
     /// Logs the zones that differ from @p before. @p source is the call or the peer that told of them.
     void reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision);
     /// Evaluates the end of a call that began at @p askedAt.
     void recordStoreResponse(bool answered, Instant askedAt);
-    /// Logs a call without a useful reply. @p target is "store" or the name of a peer.
-    void reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin);
     void publishChange();
 
     GatewayContext &context_;
