Tests: a store that comes back from an older copy breaks CONFIG and DRAIN

Real gateways before a store that goes away for 0.9 s and comes back from a copy, 400 revisions back, in a new era; what was lost is written again 1.2 s later. Red on this logic: a version that is written then is not in force 3 s later (66 requests by the one before), an upstream that leaves gets requests 3 s later (27), an evacuation is not obeyed (11) or not taken back, a gateway that starts meanwhile serves by the copy (5).

The control, a store that is away as long and comes back as it was, passes: its absence alone is not the cause.

--- a/src/gateway/tests/storestandin.h
+++ b/src/gateway/tests/storestandin.h
@@ -1,4 +1,5 @@
-// In-memory implementation of the platform store's HTTP protocol: versioned items, leases, watches and atomic transactions.
+// In-memory implementation of the platform store's HTTP protocol: versioned items, leases, watches and atomic transactions. It can go away and come back
+// from an older copy of itself.
 
 #pragma once
 
@@ -45,6 +46,16 @@
         }
     }
 
+    /// Drops @p key and the lease that it is attached to as if they had never been written.
+    void forget(const std::string &key)
+    {
+        const auto item = items_.find(key);
+        if (item != items_.end()) {
+            leases_.erase(item->second.lease);
+            items_.erase(item);
+        }
+    }
+
     /// Value of an item; empty if there is none.
     std::string get(const std::string &key) const
     {
@@ -63,6 +74,49 @@
         return found;
     }
 
+    /// From now on all answers tell @p era.
+    void setEra(int64_t era)
+    {
+        era_ = era;
+    }
+
+    /// Remembers the present state for comeBackFromCopy().
+    void takeCopy()
+    {
+        copy_ = {items_, history_, leases_, lastLeaseId_, revision_};
+    }
+
+    /// Ends all connections without a reply. New ones are closed until the store comes back.
+    void goAway()
+    {
+        away_ = true;
+        closeConnections();
+    }
+
+    /// Comes back with everything that it has acknowledged.
+    void comeBack()
+    {
+        away_ = false;
+    }
+
+    /// Comes back in a new era as it was when the copy was taken. Leases that have ended since then, or began later, are gone.
+    void comeBackFromCopy()
+    {
+        closeConnections();
+        items_ = copy_.items;
+        history_ = copy_.history;
+        leases_ = copy_.leases;
+        lastLeaseId_ = copy_.lastLeaseId;
+        revision_ = copy_.revision;
+        ++era_;
+        away_ = false;
+    }
+
+    int64_t revision() const
+    {
+        return revision_;
+    }
+
 private:
     struct Item
     {
@@ -83,6 +137,15 @@
         framework::Instant end{0};
     };
 
+    struct State
+    {
+        std::map<std::string, Item> items;
+        std::vector<Change> history;
+        std::map<int64_t, Lease> leases;
+        int64_t lastLeaseId = 0;
+        int64_t revision = 1;
+    };
+
     struct Reply
     {
         int status = 200;
@@ -91,6 +154,10 @@
 
     asio::awaitable<void> serve(transport::ConnectionPtr connection, ReceivedRequest request)
     {
+        if (away_) {
+            connection->close();
+            co_return;
+        }
         expireLeases();
         Reply reply;
         if (request.target.starts_with("/-/kv-watch")) {
@@ -106,9 +173,18 @@
             reply = change(request);
         }
         const std::string body = framework::writeJson(reply.body);
+        const std::string era = era_ == 0 ? "" : "Store-Era: " + std::to_string(era_) + "\r\n";
         co_await send(connection,
-                      "HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
-                          + "\r\n\r\n" + body);
+                      "HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: application/json\r\n" + era
+                          + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    void closeConnections()
+    {
+        for (const transport::ConnectionPtr &connection : listener_->connections) {
+            connection->close();
+        }
+        listener_->connections.clear();
     }
 
     asio::awaitable<Reply> watch(std::string target)
@@ -117,6 +193,9 @@
         const int64_t after = std::stoll(transport::queryValue(target, "after"));
         const framework::Instant end = framework::monotonicNow() + framework::milliseconds{std::stoll(transport::queryValue(target, "wait_ms"))};
         Reply reply;
+        if (after > revision_) {
+            co_return Reply{410, Json::objectValue};
+        }
         reply.body["events"] = Json::arrayValue;
         while (reply.body["events"].empty() && framework::monotonicNow() < end) {
             for (const Change &change : history_) {
@@ -229,6 +308,9 @@
     std::map<int64_t, Lease> leases_;
     int64_t lastLeaseId_ = 0;
     int64_t revision_ = 1;
+    int64_t era_ = 0; ///< 0: answers tell none.
+    bool away_ = false;
+    State copy_;
     std::unique_ptr<ScriptedUpstream> listener_;
 };
 
