--- a/src/configsync/configcurrency.h
+++ b/src/configsync/configcurrency.h
@@ -5,10 +5,14 @@
 //
 // A gateway is current if nothing newer exists. Evidence is a reply of the store about the keys, its own or that of a peer whose keys are not newer
 // than its own. Each reply has a time, so the age of the evidence is known and bounded: what peers cannot tell in time is asked of the store.
+//
+// Evidence belongs to an era of the store. When the store comes back from an older copy, all evidence of before is void, but not the keys: a configuration
+// that was accepted is not replaced by the older one of the copy.
 
 #pragma once
 
 #include "framework/clock.h"
+#include "storeera/storerevision.h"
 
 #include <cstdint>
 #include <deque>
@@ -25,17 +29,28 @@
 using framework::Duration;
 using framework::Instant;
 using framework::milliseconds;
+using storeera::StoreRevision;
+
+/// Identifies a configuration. Revisions order those of an era, versions those of different eras.
+struct ConfigRevision
+{
+    StoreRevision revision; ///< 0 before the first configuration.
+    int64_t version = 0; ///< Set by the operators, never decreases from one configuration to the next.
+
+    bool operator==(const ConfigRevision &other) const = default;
+};
 
 /// Revisions in the store of the operators' keys that a gateway has applied.
 struct KeyRevisions
 {
-    int64_t config = 0; ///< 0 before the first configuration.
-    int64_t zones = -1; ///< -1 before the zones out of service are known.
+    ConfigRevision config;
+    StoreRevision zones{0, -1}; ///< -1 before the zones out of service are known.
     uint32_t zonesDigest = 0; ///< Of the zones out of service. A gateway that reads all keys gives a new revision to zones that have not changed.
 
     bool operator==(const KeyRevisions &other) const = default;
 };
 
+bool isNewer(const ConfigRevision &a, const ConfigRevision &b);
 /// True if any key of @p a is newer than the same one of @p b.
 bool isNewer(const KeyRevisions &a, const KeyRevisions &b);
 
@@ -43,6 +58,7 @@
 struct KeyReport
 {
     KeyRevisions revisions;
+    int64_t era = 0; ///< Of confirmedRevision.
     int64_t confirmedRevision = 0; ///< Revision of the whole store up to which there is no newer key; 0 if unknown.
     milliseconds confirmedAge{0}; ///< Time since the store was asked for that.
 };
@@ -93,6 +109,8 @@
     void onChangesRead(int64_t lastChange, int64_t storeRevision, Instant askedAt);
     /// The store no longer has the changes after confirmedRevision().
     void onHistoryGone();
+    /// The store has begun @p era: confirmed revisions of before mean nothing, and all keys have to be read.
+    void onNewEra(int64_t era);
     /// A peer has sent @p report at @p sentAt. Returns true if it has newer keys.
     bool onPeerReport(const KeyReport &report, Instant sentAt, Instant now);
     void onFetchEnded(std::string_view peer, bool succeeded, Instant now);
@@ -132,6 +150,7 @@
     KeyRevisions newest_; ///< Known to exist. At least own_.
     Instant behindSince_{0}; ///< When newest_ became newer than own_, valid while it is.
     Instant learnedAt_{0}; ///< When newest_ was last raised.
+    int64_t era_ = 0; ///< Of all revisions below.
     int64_t confirmedRevision_ = 0; ///< Changes are asked for from here. Never decreases, except to 0.
     int64_t goneRevision_ = 0; ///< The store no longer has the changes after it; peers may still tell it.
     std::deque<ToldRevision> told_; ///< Later than confirmedRevision_, oldest first.
--- a/src/configsync/internal/configcurrency.cpp
+++ b/src/configsync/internal/configcurrency.cpp
@@ -3,6 +3,7 @@
 #include "configsync/configcurrency.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace daisymount::configsync
@@ -23,13 +24,18 @@
 KeyRevisions merged(const KeyRevisions &a, const KeyRevisions &b)
 {
     const KeyRevisions &zones = b.zones > a.zones ? b : a;
-    return {std::max(a.config, b.config), zones.zones, zones.zonesDigest};
+    return {isNewer(b.config, a.config) ? b.config : a.config, zones.zones, zones.zonesDigest};
 }
 } // namespace
 
+bool isNewer(const ConfigRevision &a, const ConfigRevision &b)
+{
+    return a.revision.era == b.revision.era ? a.revision > b.revision : a.version > b.version;
+}
+
 bool isNewer(const KeyRevisions &a, const KeyRevisions &b)
 {
-    return a.config > b.config || (a.zones > b.zones && a.zonesDigest != b.zonesDigest);
+    return isNewer(a.config, b.config) || (a.zones > b.zones && a.zonesDigest != b.zonesDigest);
 }
 
 ConfigCurrency::ConfigCurrency(const ConfigCurrencyOptions &options) : options_(options), random_(static_cast<unsigned>(options.seed))
@@ -97,6 +103,16 @@
     confirmedRevision_ = 0;
 }
 
+void ConfigCurrency::onNewEra(int64_t era)
+{
+    era_ = era;
+    told_.clear();
+    goneRevision_ = 0;
+    confirmedRevision_ = 0;
+    nextStoreCallAt_ = Instant{0};
+    storeFailures_ = 0;
+}
+
 bool ConfigCurrency::onPeerReport(const KeyReport &report, Instant sentAt, Instant now)
 {
     if (isNewer(report.revisions, newest_)) {
@@ -107,7 +123,7 @@
         learnedAt_ = now;
     }
     const bool hasNewer = isNewer(report.revisions, own_);
-    if (hasNewer || report.confirmedRevision <= goneRevision_) {
+    if (hasNewer || report.era != era_ || report.confirmedRevision <= goneRevision_) {
         return hasNewer;
     }
     // The peer's keys were the newest ones at that revision, and the own ones are not older.
@@ -157,7 +173,7 @@
     if (usable.empty()) {
         return std::nullopt;
     }
-    const auto rank = [](const KeySource *source) { return std::pair(source->sameZone, source->revisions.config); };
+    const auto rank = [](const KeySource *source) { return std::tuple(source->sameZone, source->revisions.config.version, source->revisions.config.revision); };
     const auto best = rank(*std::ranges::max_element(usable, {}, rank));
     std::erase_if(usable, [&](const KeySource *source) { return rank(source) != best; });
     // Followers choose at random, so that they don't all fetch a large configuration from one small machine.
@@ -169,7 +185,7 @@
 SyncStep ConfigCurrency::next(std::span<const KeySource> sources, Instant now)
 {
     for (const KeySource &source : sources) {
-        onPeerReport({source.revisions, 0, milliseconds{0}}, now, now);
+        onPeerReport({source.revisions, era_, 0, milliseconds{0}}, now, now);
     }
     const bool mayAskStore = now >= nextStoreCallAt_;
     if (isBehind()) {
@@ -188,7 +204,7 @@
 KeyReport ConfigCurrency::report(Instant now) const
 {
     const Duration age = confirmedAt_ ? now - *confirmedAt_ : Duration{0};
-    return {own_, confirmedAt_ && !isBehind() ? confirmedRevision_ : 0, std::chrono::duration_cast<milliseconds>(age)};
+    return {own_, era_, confirmedAt_ && !isBehind() ? confirmedRevision_ : 0, std::chrono::duration_cast<milliseconds>(age)};
 }
 
 int64_t ConfigCurrency::confirmedRevision() const
--- a/src/configsync/tests/configcurrency_tests.cpp
+++ b/src/configsync/tests/configcurrency_tests.cpp
@@ -13,12 +13,18 @@
 
 namespace
 {
+constexpr int64_t ERA = 3;
 constexpr Instant START{std::chrono::seconds{100}};
 constexpr milliseconds MAX_AGE{1'500};
 
+KeyRevisions keys(int64_t config, int64_t zones = 1, uint32_t zonesDigest = 0)
+{
+    return {{{ERA, config}, config}, {ERA, zones}, zonesDigest};
+}
+
 KeySource source(const std::string &name, int64_t config, bool sameZone = true)
 {
-    return {name, sameZone, {config, 1}};
+    return {name, sameZone, keys(config)};
 }
 } // namespace
 
@@ -28,7 +34,8 @@
 
     void setup() override
     {
-        currency.onApplied({10, 1});
+        currency.onNewEra(ERA);
+        currency.onApplied(keys(10, 1));
         currency.onKeysRead(50, START);
     }
 
@@ -40,7 +47,7 @@
     /// A peer tells of a configuration that this gateway does not have.
     void learnOfNewer(int ms)
     {
-        currency.onPeerReport({{20, 1}, 60, milliseconds{0}}, at(ms), at(ms));
+        currency.onPeerReport({keys(20, 1), ERA, 60, milliseconds{0}}, at(ms), at(ms));
     }
 };
 
@@ -103,14 +110,14 @@
 
 TEST(ConfigCurrency, evidenceOfPeersCountsOnlyIfTheirKeysAreNotNewer)
 {
-    CHECK_FALSE(currency.onPeerReport({{10, 1}, 80, milliseconds{300}}, at(1'000), at(1'000)));
+    CHECK_FALSE(currency.onPeerReport({keys(10, 1), ERA, 80, milliseconds{300}}, at(1'000), at(1'000)));
     CHECK(*currency.evidenceAge(at(1'000)) == milliseconds{300});
     LONGS_EQUAL(80, currency.confirmedRevision());
-    CHECK(currency.onPeerReport({{20, 1}, 90, milliseconds{0}}, at(1'200), at(1'200)));
+    CHECK(currency.onPeerReport({keys(20, 1), ERA, 90, milliseconds{0}}, at(1'200), at(1'200)));
     LONGS_EQUAL(80, currency.confirmedRevision());
     LONGS_EQUAL(0, currency.report(at(1'250)).confirmedRevision);
     CHECK(currency.behindFor(at(1'300)) == milliseconds{100});
-    currency.onApplied({20, 1});
+    currency.onApplied(keys(20, 1));
     CHECK(currency.behindFor(at(1'300)) == Duration{0});
     LONGS_EQUAL(80, currency.report(at(1'300)).confirmedRevision);
 }
@@ -118,10 +125,10 @@
 /// Guards against the whole fleet fetching the keys again because one gateway has read them as a whole.
 TEST(ConfigCurrency, aNewRevisionOfUnchangedZonesIsNothingNew)
 {
-    currency.onApplied({10, 1, 5});
-    CHECK_FALSE(currency.onPeerReport({{10, 30, 5}, 90, milliseconds{0}}, at(500), at(500)));
+    currency.onApplied(keys(10, 1, 5));
+    CHECK_FALSE(currency.onPeerReport({keys(10, 30, 5), ERA, 90, milliseconds{0}}, at(500), at(500)));
     LONGS_EQUAL(90, currency.confirmedRevision());
-    CHECK(currency.onPeerReport({{10, 40, 6}, 95, milliseconds{0}}, at(600), at(600)));
+    CHECK(currency.onPeerReport({keys(10, 40, 6), ERA, 95, milliseconds{0}}, at(600), at(600)));
     CHECK(currency.behindFor(at(700)) == milliseconds{100});
 }
 
@@ -143,10 +150,10 @@
 TEST(ConfigCurrency, aRevisionWithoutHistoryIsNotTakenFromPeersAgain)
 {
     currency.onHistoryGone();
-    currency.onPeerReport({{10, 1}, 50, milliseconds{0}}, at(1'000), at(1'000));
+    currency.onPeerReport({keys(10, 1), ERA, 50, milliseconds{0}}, at(1'000), at(1'000));
     LONGS_EQUAL(0, currency.confirmedRevision());
     CHECK(*currency.evidenceAge(at(1'000)) == milliseconds{1'000});
-    currency.onPeerReport({{10, 1}, 51, milliseconds{0}}, at(1'100), at(1'100));
+    currency.onPeerReport({keys(10, 1), ERA, 51, milliseconds{0}}, at(1'100), at(1'100));
     LONGS_EQUAL(51, currency.confirmedRevision());
 }
 
@@ -157,6 +164,45 @@
     CHECK_FALSE(currency.isStale(at(1'000)));
 }
 
+/// Guards against keys that are held back or taken back because the store has come back from an older copy.
+TEST(ConfigCurrency, versionsOrderConfigurationsOfDifferentEras)
+{
+    const ConfigRevision accepted{{ERA, 200}, 7};
+    const ConfigRevision ofTheCopy{{ERA + 1, 20}, 6};
+    const ConfigRevision writtenAgain{{ERA + 1, 30}, 7};
+    const ConfigRevision next{{ERA + 1, 40}, 9};
+    CHECK(isNewer(accepted, ofTheCopy));
+    CHECK_FALSE(isNewer(ofTheCopy, accepted));
+    CHECK_FALSE(isNewer(writtenAgain, accepted));
+    CHECK_FALSE(isNewer(accepted, writtenAgain));
+    CHECK(isNewer(next, accepted));
+    CHECK(isNewer(writtenAgain, ofTheCopy));
+}
+
+/// Guards against a confirmed revision that the store no longer has, so that its changes are never asked for.
+TEST(ConfigCurrency, aNewEraVoidsWhatWasConfirmed)
+{
+    currency.onChangesRead(130, 140, at(100));
+    currency.onNewEra(ERA + 1);
+    LONGS_EQUAL(0, currency.confirmedRevision());
+    // A peer of the former era is no evidence, however recent its word.
+    currency.onPeerReport({keys(10), ERA, 500, milliseconds{0}}, at(300), at(300));
+    LONGS_EQUAL(0, currency.confirmedRevision());
+    CHECK(*currency.evidenceAge(at(300)) == milliseconds{200});
+    currency.onPeerReport({keys(10), ERA + 1, 60, milliseconds{0}}, at(400), at(400));
+    LONGS_EQUAL(60, currency.confirmedRevision());
+}
+
+TEST(ConfigCurrency, aVersionThatAPeerOfTheFormerEraHasIsStillNewerThanThatOfTheCopy)
+{
+    currency.onNewEra(ERA + 1);
+    currency.onApplied({{{ERA + 1, 20}, 9}, {ERA + 1, 20}, 0});
+    currency.onKeysRead(20, at(100));
+    CHECK(currency.onPeerReport({keys(10), ERA, 500, milliseconds{0}}, at(300), at(300)));
+    const std::vector<KeySource> sources{source("peer", 10)};
+    CHECK(currency.next(sources, at(350)).action == SyncAction::FetchFromPeer);
+}
+
 namespace
 {
 /// Gateways of which a few watch a store, with calls that fail for a time. Time is simulated.
@@ -168,7 +214,8 @@
         const size_t count = 3 + random_() % 58;
         for (size_t i = 0; i < count; ++i) {
             ConfigCurrency currency({.maxAge = MAX_AGE, .seed = seed * 100 + i});
-            currency.onApplied({1, 1});
+            currency.onNewEra(ERA);
+            currency.onApplied(keys(1, 1));
             currency.onKeysRead(1, START);
             gateways_.push_back({std::move(currency), i < 3});
         }
@@ -221,7 +268,7 @@
     void apply(Member &member, int64_t config)
     {
         member.config = std::max(member.config, config);
-        member.currency.onApplied({member.config, 1});
+        member.currency.onApplied(keys(member.config));
     }
 
     void tick(Member &member)
@@ -253,7 +300,7 @@
         std::vector<KeySource> sources;
         for (size_t i = 0; i < gateways_.size(); ++i) {
             if (gateways_[i].config > member.config) {
-                sources.push_back({std::to_string(i), i % 3 == 0, {gateways_[i].config, 1}});
+                sources.push_back({std::to_string(i), i % 3 == 0, keys(gateways_[i].config)});
             }
         }
         const SyncStep step = member.currency.next(sources, now_);
--- a/src/dispatch/tests/dispatch_tests.cpp
+++ b/src/dispatch/tests/dispatch_tests.cpp
@@ -56,12 +56,12 @@
 
     void fleet(std::vector<StoredItem> items)
     {
-        view.applyConfig({"c", "x", 1});
+        view.applyConfig({"c", "x", {0, 1}});
         ++revision;
         for (StoredItem &item : items) {
-            item.revision = revision;
+            item.revision = {0, revision};
         }
-        view.applyUpstreams({std::move(items), revision}, now);
+        view.applyUpstreams({std::move(items), {0, revision}}, now);
         dispatcher.onFleetChange(view, now);
     }
 
@@ -75,7 +75,7 @@
 
 TEST(Dispatcher, balancesByRequestsInFlight)
 {
-    fleet({{"u1", "h:1 1 a ready 0", 0}, {"u2", "h:2 1 a ready 0", 0}, {"u3", "h:3 1 a ready 0", 0}});
+    fleet({{"u1", "h:1 1 a ready 0", {}}, {"u2", "h:2 1 a ready 0", {}}, {"u3", "h:3 1 a ready 0", {}}});
     std::map<std::string, int> counts;
     for (int i = 0; i < 12; ++i) {
         const std::string upstream = place();
@@ -89,7 +89,7 @@
 
 TEST(Dispatcher, doesNotSelectAnAttemptedUpstreamAgain)
 {
-    fleet({{"u1", "h:1 1 a ready 0", 0}, {"u2", "h:2 1 a ready 0", 0}});
+    fleet({{"u1", "h:1 1 a ready 0", {}}, {"u2", "h:2 1 a ready 0", {}}});
     for (int i = 0; i < 20; ++i) {
         STRCMP_EQUAL("u2", place({"u1"}).c_str());
     }
@@ -98,16 +98,16 @@
 
 TEST(Dispatcher, drainingUpstreamsAndZonesOutOfServiceGetNoRequests)
 {
-    fleet({{"u1", "h:1 1 a draining 0", 0}, {"u2", "h:2 1 b ready 0", 0}});
+    fleet({{"u1", "h:1 1 a draining 0", {}}, {"u2", "h:2 1 b ready 0", {}}});
     STRCMP_EQUAL("u2", place().c_str());
-    view.applyZonesOut({"b"}, 5);
+    view.applyZonesOut({"b"}, {0, 5});
     dispatcher.onFleetChange(view, now);
     STRCMP_EQUAL("", place().c_str());
 }
 
 TEST(Dispatcher, newestIncarnationAtAnAddressGetsTheRequests)
 {
-    fleet({{"old", "h:1 100 a ready 0", 0}, {"new", "h:1 200 a ready 0", 0}});
+    fleet({{"old", "h:1 100 a ready 0", {}}, {"new", "h:1 200 a ready 0", {}}});
     for (int i = 0; i < 10; ++i) {
         STRCMP_EQUAL("new", place().c_str());
     }
@@ -115,7 +115,7 @@
 
 TEST(Dispatcher, unreachableUpstreamIsAvoidedTemporarily)
 {
-    fleet({{"u1", "h:1 1 a ready 0", 0}, {"u2", "h:2 1 a ready 0", 0}});
+    fleet({{"u1", "h:1 1 a ready 0", {}}, {"u2", "h:2 1 a ready 0", {}}});
     dispatcher.onSent("u1", now);
     dispatcher.onFinished("u1", AttemptResult::Unreachable, Duration{0}, now);
     for (int i = 0; i < 10; ++i) {
@@ -131,7 +131,7 @@
 
 TEST(Dispatcher, failingUpstreamIsAvoidedAndGetsRequestsAgainLater)
 {
-    fleet({{"grey", "h:1 1 a ready 0", 0}, {"good", "h:2 1 a ready 0", 0}});
+    fleet({{"grey", "h:1 1 a ready 0", {}}, {"good", "h:2 1 a ready 0", {}}});
     for (int i = 0; i < 5; ++i) {
         dispatcher.onSent("grey", now);
         dispatcher.onFinished("grey", AttemptResult::Failed, Duration{0}, now);
@@ -154,7 +154,7 @@
     int sent = 0;
     for (int entry = 0; entry < ENTRIES; ++entry) {
         Dispatcher one({"a", 1.5, 5.0, static_cast<uint64_t>(entry + 1)});
-        fleet({{"cold", "h:1 1 a ready 60000", 0}});
+        fleet({{"cold", "h:1 1 a ready 60000", {}}});
         one.onFleetChange(view, now);
         one.setEntries(ENTRIES);
         one.place({"s", {}, true}, now);
@@ -175,7 +175,7 @@
     constexpr double BOUND = 36.0 * 1.5 + 5.0;
     int sum = 0;
     for (int round = 0; round < 20; ++round) {
-        fleet({{"cold" + std::to_string(round), "h:1 1 a ready 60000", 0}});
+        fleet({{"cold" + std::to_string(round), "h:1 1 a ready 60000", {}}});
         int sent = 0;
         for (int entry = 0; entry < ENTRIES; ++entry) {
             Dispatcher one({"a", 1.5, 5.0, static_cast<uint64_t>(entry + 1)});
--- a/src/dispatch/tests/homeplaces_tests.cpp
+++ b/src/dispatch/tests/homeplaces_tests.cpp
@@ -53,13 +53,13 @@
     FleetSimulation(int entries, int engines, int zones) : inFlight_(static_cast<size_t>(engines)), entries_(entries)
     {
         FleetView view{{decodeEngines, decodeEngine}};
-        view.applyConfig({"c", "x", 1});
+        view.applyConfig({"c", "x", {0, 1}});
         std::vector<StoredItem> items;
         for (int i = 0; i < engines; ++i) {
-            items.push_back({nameOf(i), zoneOf(i, engines, zones), 1});
+            items.push_back({nameOf(i), zoneOf(i, engines, zones), {0, 1}});
             zones_.push_back(items.back().value);
         }
-        view.applyUpstreams({items, 1}, START);
+        view.applyUpstreams({items, {0, 1}}, START);
         for (int i = 0; i < entries; ++i) {
             dispatchers_.emplace_back(DispatcherOptions{zoneOf(i, entries, zones), 1.0, 0.0, static_cast<uint64_t>(i + 1)});
             dispatchers_.back().onFleetChange(view, START);
--- a/src/dispatch/tests/upstreamnotices_tests.cpp
+++ b/src/dispatch/tests/upstreamnotices_tests.cpp
@@ -46,12 +46,12 @@
 
     void fleet(std::vector<StoredItem> items, Instant now)
     {
-        view.applyConfig({"c", "x", 1});
+        view.applyConfig({"c", "x", {0, 1}});
         ++revision;
         for (StoredItem &item : items) {
-            item.revision = revision;
+            item.revision = {0, revision};
         }
-        view.applyUpstreams({std::move(items), revision}, now);
+        view.applyUpstreams({std::move(items), {0, revision}}, now);
         dispatcher.onFleetChange(view, now);
     }
 
@@ -72,7 +72,7 @@
 
 TEST(UpstreamNotices, leavingUpstreamGetsNoRequestsEvenIfTheStoreListsIt)
 {
-    entry.fleet({{"u1", "1", 0}, {"u2", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}, {"u2", "1", {}}}, now);
     CHECK(entry.dispatcher.onLeaving("u1", 1, milliseconds{0}, now));
     CHECK_FALSE(entry.dispatcher.onLeaving("u1", 1, milliseconds{0}, now));
     CHECK_FALSE(entry.dispatcher.acceptsRequests("u1", now));
@@ -80,16 +80,16 @@
         STRCMP_EQUAL("u2", entry.place(now).c_str());
     }
     // The registration lapses and returns, as after a store outage.
-    entry.fleet({{"u2", "1", 0}}, now);
-    entry.fleet({{"u1", "1", 0}, {"u2", "1", 0}}, now);
+    entry.fleet({{"u2", "1", {}}}, now);
+    entry.fleet({{"u1", "1", {}}, {"u2", "1", {}}}, now);
     now += std::chrono::minutes{5};
     for (int i = 0; i < 10; ++i) {
         STRCMP_EQUAL("u2", entry.place(now).c_str());
     }
-    entry.fleet({{"u1", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}}, now);
     STRCMP_EQUAL("", entry.place(now).c_str());
     // A new incarnation with the same id gets requests again.
-    entry.fleet({{"u1", "2", 0}}, now);
+    entry.fleet({{"u1", "2", {}}}, now);
     STRCMP_EQUAL("u1", entry.place(now).c_str());
     CHECK(entry.dispatcher.acceptsRequests("u1", now));
 }
@@ -97,17 +97,17 @@
 // Guards against a request that is sent to an upstream whose leaving became known while its connection was being opened.
 TEST(UpstreamNotices, upstreamWhoseRegistrationEndsAfterItWasChosenAcceptsNoRequest)
 {
-    entry.fleet({{"u1", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}}, now);
     STRCMP_EQUAL("u1", entry.place(now).c_str());
     entry.dispatcher.onSent("u1", now);
     CHECK(entry.dispatcher.acceptsRequests("u1", now));
-    entry.fleet({{"u2", "1", 0}}, now);
+    entry.fleet({{"u2", "1", {}}}, now);
     CHECK_FALSE(entry.dispatcher.acceptsRequests("u1", now));
 }
 
 TEST(UpstreamNotices, noticesFromOtherEntriesAreApplied)
 {
-    entry.fleet({{"u1", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}}, now);
     CHECK(entry.dispatcher.onLeaving("u1", 1, milliseconds{300}, now));
     STRCMP_EQUAL("", entry.place(now).c_str());
     LONGS_EQUAL(1, entry.dispatcher.leavingToAnnounce(now).size());
@@ -115,14 +115,14 @@
     // A notice is sent to other entries only for some seconds.
     LONGS_EQUAL(0, entry.dispatcher.leavingToAnnounce(now + std::chrono::seconds{10}).size());
     // The notice of an earlier incarnation does not apply to a new one.
-    entry.fleet({{"u1", "2", 0}}, now);
+    entry.fleet({{"u1", "2", {}}}, now);
     CHECK(entry.dispatcher.onLeaving("u1", 1, milliseconds{0}, now) == false);
     STRCMP_EQUAL("u1", entry.place(now).c_str());
 }
 
 TEST(UpstreamNotices, pausedUpstreamGetsNoRequestsBeforeThePauseEnds)
 {
-    entry.fleet({{"u1", "1", 0}, {"u2", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}, {"u2", "1", {}}}, now);
     const Instant until = entry.dispatcher.onBackoffRequested("u1", 1, milliseconds{2'000}, now);
     CHECK(until >= now + milliseconds{2'000});
     CHECK(until <= now + milliseconds{2'500});
@@ -149,7 +149,7 @@
     std::vector<Instant> resumeTimes;
     for (uint64_t seed = 1; seed <= ENTRIES; ++seed) {
         Entry one(seed * 7'919);
-        one.fleet({{"u1", "1", 0}}, now);
+        one.fleet({{"u1", "1", {}}}, now);
         resumeTimes.push_back(one.dispatcher.onBackoffRequested("u1", 1, milliseconds{2'000}, now));
     }
     std::ranges::sort(resumeTimes);
@@ -162,7 +162,7 @@
 
 TEST(UpstreamNotices, pausedAndLeavingEnginesAreNotUsable)
 {
-    entry.fleet({{"u1", "1", 0}, {"u2", "1", 0}}, now);
+    entry.fleet({{"u1", "1", {}}, {"u2", "1", {}}}, now);
     LONGS_EQUAL(2, entry.dispatcher.engineLoad("s", now).usable);
     entry.dispatcher.onBackoffRequested("u1", 1, milliseconds{1'000}, now);
     LONGS_EQUAL(1, entry.dispatcher.engineLoad("s", now).usable);
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -1,9 +1,13 @@
 // Fleet state of this process: the active configuration, the zones out of service and the upstreams, each with its store revision.
+//
+// What the store has acknowledged stays accepted when the store comes back from an older copy. Between two eras a configuration is therefore ordered by its
+// version, which operators only raise, and a registration by the sequence of its upstream. Only within an era revisions order everything.
 
 #pragma once
 
 #include "fleet/fleettypes.h"
 #include "fleet/zonesoutofservice.h"
+#include "storeera/storerevision.h"
 
 #include <functional>
 #include <memory>
@@ -20,21 +24,22 @@
 {
     std::string key;
     std::string value;
-    int64_t revision = 0;
+    StoreRevision revision;
 };
 
-/// Items with a common key prefix at one store revision.
+/// Items with a common key prefix at one store revision. All are of its era.
 struct Snapshot
 {
     std::vector<StoredItem> items;
-    int64_t revision = 0;
+    StoreRevision revision;
 };
 
 /// A registered upstream with the state kept by the view.
 struct KnownUpstream
 {
     Upstream upstream;
-    int64_t revision = 0;
+    StoreRevision revision;
+    StoreRevision registeredAt; ///< Of this registration when it was first seen. Not changed by an older copy of the store that has it too.
     Instant coldUntil{0};
     Instant missingSince{0}; ///< 0 while registered. Set while a lapsed registration may return after a store outage.
 };
@@ -58,19 +63,25 @@
 public:
     explicit FleetView(FleetDecoder decoder);
 
-    /// Applies a configuration. Older revisions are ignored; returns true if it became active.
+    /// Applies a configuration. Older revisions of the same era and lower versions are ignored, as is the same version of an earlier era; returns true if it
+    /// became active.
     bool applyConfig(const StoredItem &item);
     /// Applies the complete set of zones out of service as of @p revision, see ZonesOutOfService::applySet().
-    bool applyZonesOut(const std::set<std::string> &zones, int64_t revision);
+    bool applyZonesOut(const std::set<std::string> &zones, StoreRevision revision);
     /// Applies the change of one zone, see ZonesOutOfService::applyChange().
-    bool applyZoneChange(std::string_view zone, bool outOfService, int64_t revision);
+    bool applyZoneChange(std::string_view zone, bool outOfService, StoreRevision revision);
+    /// See ZonesOutOfService::retain(). The zones are kept out until @p until.
+    void retainZonesOut(const std::set<std::string> &zones, Instant until);
     /// Replaces the upstreams by those in @p snapshot. Missing upstreams are kept during the grace period after a store outage. Of several
     /// upstreams at one address only the last registered is kept, since the registration of a crashed one remains until its lease ends.
     void applyUpstreams(const Snapshot &snapshot, Instant now);
     /// The store is available again after an outage: lapsed registrations may return within LAPSED_GRACE.
     void onStoreRegained(Instant now);
-    /// Removes upstreams that did not return within the grace period.
-    /// Returns true if any was removed.
+    /// The store has come back from an older copy. Zones that are out of service stay out for @p zoneRetention, unless they change before. Registrations that
+    /// the copy does not have may return within LAPSED_GRACE.
+    void onNewEra(Instant now, Duration zoneRetention);
+    /// Removes upstreams that did not return within the grace period, and ends the retention of zones.
+    /// Returns true if anything changed.
     bool expire(Instant now);
 
     bool hasConfig() const;
@@ -80,12 +91,15 @@
     const Organisation *organisationOf(std::string_view apiKey) const;
     bool zoneOut(std::string_view zone) const;
     const std::set<std::string> &zonesOut() const;
+    /// Zones out of service without those that are only retained, see ZonesOutOfService::stored().
+    std::set<std::string> storedZonesOut() const;
+    const std::set<std::string> &retainedZonesOut() const;
     const std::map<std::string, KnownUpstream, std::less<>> &upstreams() const;
-    int64_t configRevision() const;
-    int64_t zonesRevision() const;
-    /// Equal for equal zones out of service.
+    StoreRevision configRevision() const;
+    StoreRevision zonesRevision() const;
+    /// Equal for equal zones out of service, without those that are only retained.
     uint32_t zonesDigest() const;
-    int64_t upstreamsRevision() const;
+    StoreRevision upstreamsRevision() const;
     const StoredItem &configItem() const;
     const Snapshot &upstreamItems() const;
 
@@ -103,6 +117,8 @@
 
     /// Running servers renew registrations that lapsed during a store outage within about two seconds.
     static constexpr Duration LAPSED_GRACE = milliseconds{2'200};
+    /// The store removes the registration of an upstream that does not renew it within this time, also one that a copy has brought back.
+    static constexpr Duration REGISTRATION_LIFETIME = milliseconds{3'600};
 
 private:
     /// The newest registration of an upstream, kept for some time after it has been removed.
@@ -111,24 +127,30 @@
         int64_t bornMs = 0;
         int64_t sequence = 0;
         UpstreamState state = UpstreamState::Ready;
+        StoreRevision registeredAt; ///< See KnownUpstream.
+        bool removed = false; ///< The upstream has been dropped since.
         Instant seenAt{0};
     };
 
     void buildLookupTables();
     void removeSuperseded();
-    /// Remembers @p upstream as the newest registration of its incarnation. Returns false if a newer one is known.
-    bool recordRegistration(const Upstream &upstream, Instant now);
+    /// Remembers @p upstream, read at @p revision, as the newest registration of its incarnation. Returns the revision at which that was first seen, or an
+    /// empty value if a newer one is known or an older copy of the store has brought it back.
+    std::optional<StoreRevision> recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now);
+    void markRemoved(const KnownUpstream &known);
 
     FleetDecoder decoder_;
     std::shared_ptr<const FleetConfig> config_; ///< Never null; version 0 before the first configuration.
-    StoredItem configItem_; ///< Its revision never decreases.
+    StoredItem configItem_; ///< Its revision never decreases within an era.
     ZonesOutOfService zonesOut_;
     Snapshot upstreamItems_; ///< Its revision never decreases.
     std::map<std::string, KnownUpstream, std::less<>> upstreams_; ///< By id.
-    std::map<std::string, int64_t, std::less<>> malformedUpstreams_; ///< Revision by id.
-    std::map<std::string, int64_t, std::less<>> outdatedUpstreams_; ///< Of registrations written late: revision by id.
+    std::map<std::string, StoreRevision, std::less<>> malformedUpstreams_; ///< Revision by id.
+    std::map<std::string, StoreRevision, std::less<>> outdatedUpstreams_; ///< Of registrations that change nothing: revision by id.
     std::map<std::string, LastRegistration, std::less<>> lastRegistrations_; ///< By id.
     Instant lapsedGraceUntil_{0}; ///< Missing upstreams are kept until this time.
+    Instant zonesRetainedUntil_{0};
+    Instant copiedUntil_{0}; ///< Registrations that a copy has brought back may not have been removed before this time. 0 if there are none.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< Longest prefix first.
     std::unordered_map<std::string, const Organisation *> organisationByKey_;
 };
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -20,29 +20,46 @@
 
 bool FleetView::applyConfig(const StoredItem &item)
 {
-    if (item.revision <= configItem_.revision) {
+    const bool ofSameEra = item.revision.era == configItem_.revision.era;
+    if (ofSameEra && item.revision <= configItem_.revision) {
         return false;
     }
     std::optional<FleetConfig> decoded = decoder_.config(item.value);
     if (!decoded || decoded->version < config_->version) {
         return false;
     }
+    if (decoded->version == config_->version && item.revision < configItem_.revision) {
+        return false;
+    }
     config_ = std::make_shared<const FleetConfig>(std::move(*decoded));
     configItem_ = item;
     buildLookupTables();
     return true;
 }
 
-bool FleetView::applyZonesOut(const std::set<std::string> &zones, int64_t revision)
+bool FleetView::applyZonesOut(const std::set<std::string> &zones, StoreRevision revision)
 {
     return zonesOut_.applySet(zones, revision);
 }
 
-bool FleetView::applyZoneChange(std::string_view zone, bool outOfService, int64_t revision)
+bool FleetView::applyZoneChange(std::string_view zone, bool outOfService, StoreRevision revision)
 {
     return zonesOut_.applyChange(zone, outOfService, revision);
 }
 
+void FleetView::retainZonesOut(const std::set<std::string> &zones, Instant until)
+{
+    zonesOut_.retain(zones);
+    zonesRetainedUntil_ = std::max(zonesRetainedUntil_, until);
+}
+
+void FleetView::onNewEra(Instant now, Duration zoneRetention)
+{
+    retainZonesOut(std::set<std::string>(zonesOut_.zones()), now + zoneRetention);
+    lapsedGraceUntil_ = now + LAPSED_GRACE;
+    copiedUntil_ = now + REGISTRATION_LIFETIME;
+}
+
 void FleetView::applyUpstreams(const Snapshot &snapshot, Instant now)
 {
     if (snapshot.revision < upstreamItems_.revision) {
@@ -76,7 +93,8 @@
             continue;
         }
         malformedUpstreams_.erase(item.key);
-        if (!recordRegistration(*decoded, now)) {
+        const std::optional<StoreRevision> registeredAt = recordRegistration(*decoded, item.revision, now);
+        if (!registeredAt) {
             outdatedUpstreams_.insert_or_assign(item.key, item.revision);
             onOutdatedUpstream(item);
             continue;
@@ -84,7 +102,8 @@
         outdatedUpstreams_.erase(item.key);
         const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
         const bool wasLeaving = known != upstreams_.end() && known->second.upstream.state == UpstreamState::Draining;
-        const auto applied = upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, coldUntil, Instant{0}}).first;
+        const auto applied
+            = upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, *registeredAt, coldUntil, Instant{0}}).first;
         if (applied->second.upstream.state == UpstreamState::Draining && !wasLeaving) {
             onUpstreamLeaving(applied->second);
         }
@@ -98,7 +117,7 @@
             }
             ++entry;
         } else {
-            onUpstreamRemoved(entry->second);
+            markRemoved(entry->second);
             entry = upstreams_.erase(entry);
         }
     }
@@ -111,27 +130,41 @@
     removeSuperseded();
 }
 
-bool FleetView::recordRegistration(const Upstream &upstream, Instant now)
+std::optional<StoreRevision> FleetView::recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now)
 {
     LastRegistration &last = lastRegistrations_[upstream.id];
     const bool sameIncarnation = last.seenAt != Instant{0} && upstream.bornMs != 0 && upstream.bornMs == last.bornMs;
     const bool comesBack = last.state == UpstreamState::Draining && upstream.state == UpstreamState::Ready;
-    if (sameIncarnation && (upstream.sequence < last.sequence || (upstream.sequence == last.sequence && comesBack))) {
-        return false;
+    const bool sameRegistration = sameIncarnation && upstream.sequence == last.sequence;
+    if (sameIncarnation && (upstream.sequence < last.sequence || (sameRegistration && comesBack))) {
+        return std::nullopt;
     }
-    last = {upstream.bornMs, upstream.sequence, upstream.state, now};
-    return true;
+    const bool copied = sameRegistration && revision.era > last.registeredAt.era;
+    if (copied && last.removed && now < copiedUntil_) {
+        return std::nullopt;
+    }
+    last = {upstream.bornMs, upstream.sequence, upstream.state, copied ? last.registeredAt : revision, false, now};
+    return last.registeredAt;
+}
+
+void FleetView::markRemoved(const KnownUpstream &known)
+{
+    const auto last = lastRegistrations_.find(known.upstream.id);
+    if (last != lastRegistrations_.end()) {
+        last->second.removed = true;
+    }
+    onUpstreamRemoved(known);
 }
 
 void FleetView::removeSuperseded()
 {
     // Ordered by store revision, since the clocks of upstreams may have been set back.
-    std::map<std::string, int64_t, std::less<>> newestRevisions; // By address. Owns its keys, since entries are removed while it is used.
+    std::map<std::string, StoreRevision, std::less<>> newestRevisions; // By address. Owns its keys, since entries are removed while it is used.
     for (const auto &[id, known] : upstreams_) {
-        int64_t &revision = newestRevisions[known.upstream.address];
-        revision = std::max(revision, known.revision);
+        StoreRevision &revision = newestRevisions[known.upstream.address];
+        revision = std::max(revision, known.registeredAt);
     }
-    std::erase_if(upstreams_, [&](const auto &entry) { return entry.second.revision < newestRevisions.find(entry.second.upstream.address)->second; });
+    std::erase_if(upstreams_, [&](const auto &entry) { return entry.second.registeredAt < newestRevisions.find(entry.second.upstream.address)->second; });
 }
 
 void FleetView::onStoreRegained(Instant now)
@@ -141,15 +174,34 @@
 
 bool FleetView::expire(Instant now)
 {
+    if (copiedUntil_ != Instant{0} && now >= copiedUntil_) {
+        copiedUntil_ = Instant{0};
+        // The next list decides again about registrations that were taken for dead ones.
+        outdatedUpstreams_.clear();
+    }
+    bool changed = false;
+    if (zonesRetainedUntil_ != Instant{0} && now >= zonesRetainedUntil_) {
+        zonesRetainedUntil_ = Instant{0};
+        changed = zonesOut_.endRetention();
+    }
     if (lapsedGraceUntil_ == Instant{0} || now < lapsedGraceUntil_) {
-        return false;
+        return changed;
     }
-    return std::erase_if(upstreams_, [](const auto &entry) { return entry.second.missingSince != Instant{0}; }) > 0;
+    for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
+        if (entry->second.missingSince == Instant{0}) {
+            ++entry;
+            continue;
+        }
+        markRemoved(entry->second);
+        entry = upstreams_.erase(entry);
+        changed = true;
+    }
+    return changed;
 }
 
 bool FleetView::hasConfig() const
 {
-    return configItem_.revision > 0;
+    return configItem_.revision > StoreRevision();
 }
 
 std::shared_ptr<const FleetConfig> FleetView::config() const
@@ -187,17 +239,27 @@
     return zonesOut_.zones();
 }
 
+std::set<std::string> FleetView::storedZonesOut() const
+{
+    return zonesOut_.stored();
+}
+
+const std::set<std::string> &FleetView::retainedZonesOut() const
+{
+    return zonesOut_.retained();
+}
+
 const std::map<std::string, KnownUpstream, std::less<>> &FleetView::upstreams() const
 {
     return upstreams_;
 }
 
-int64_t FleetView::configRevision() const
+StoreRevision FleetView::configRevision() const
 {
     return configItem_.revision;
 }
 
-int64_t FleetView::zonesRevision() const
+StoreRevision FleetView::zonesRevision() const
 {
     return zonesOut_.revision();
 }
@@ -205,13 +267,13 @@
 uint32_t FleetView::zonesDigest() const
 {
     std::string names;
-    for (const std::string &zone : zonesOut_.zones()) {
+    for (const std::string &zone : storedZonesOut()) {
         names += zone + '\n';
     }
     return static_cast<uint32_t>(framework::hash64(names));
 }
 
-int64_t FleetView::upstreamsRevision() const
+StoreRevision FleetView::upstreamsRevision() const
 {
     return upstreamItems_.revision;
 }
--- a/src/fleet/internal/zonesoutofservice.cpp
+++ b/src/fleet/internal/zonesoutofservice.cpp
@@ -8,32 +8,59 @@
 namespace daisymount::fleet
 {
 
-bool ZonesOutOfService::applySet(const std::set<std::string> &zones, int64_t revision)
+bool ZonesOutOfService::applySet(const std::set<std::string> &zones, StoreRevision revision)
 {
     if (revision < setRevision_) {
         return false;
     }
     setRevision_ = revision;
+    set_ = zones;
+    std::erase_if(retained_, [&](const std::string &zone) { return zones.contains(zone); });
     std::erase_if(changes_, [revision](const auto &entry) { return entry.second.revision <= revision; });
-    std::set<std::string> merged = zones;
-    for (const auto &[zone, change] : changes_) {
-        if (change.outOfService) {
-            merged.insert(zone);
-        } else {
-            merged.erase(zone);
-        }
-    }
-    return std::exchange(zones_, std::move(merged)) != zones_;
+    return update();
 }
 
-bool ZonesOutOfService::applyChange(std::string_view zone, bool outOfService, int64_t revision)
+bool ZonesOutOfService::applyChange(std::string_view zone, bool outOfService, StoreRevision revision)
 {
     const auto last = changes_.find(zone);
     if (revision <= (last == changes_.end() ? setRevision_ : last->second.revision)) {
         return false;
     }
     changes_.insert_or_assign(std::string(zone), Change{outOfService, revision});
-    return outOfService ? zones_.insert(std::string(zone)).second : zones_.erase(std::string(zone)) > 0;
+    retained_.erase(std::string(zone));
+    return update();
+}
+
+void ZonesOutOfService::retain(const std::set<std::string> &zones)
+{
+    retained_.insert(zones.begin(), zones.end());
+    update();
+}
+
+bool ZonesOutOfService::endRetention()
+{
+    retained_.clear();
+    return update();
+}
+
+std::set<std::string> ZonesOutOfService::stored() const
+{
+    std::set<std::string> zones = set_;
+    for (const auto &[zone, change] : changes_) {
+        if (change.outOfService) {
+            zones.insert(zone);
+        } else {
+            zones.erase(zone);
+        }
+    }
+    return zones;
+}
+
+bool ZonesOutOfService::update()
+{
+    std::set<std::string> zones = stored();
+    zones.insert(retained_.begin(), retained_.end());
+    return std::exchange(zones_, std::move(zones)) != zones_;
 }
 
 const std::set<std::string> &ZonesOutOfService::zones() const
@@ -41,14 +68,19 @@
     return zones_;
 }
 
+const std::set<std::string> &ZonesOutOfService::retained() const
+{
+    return retained_;
+}
+
 bool ZonesOutOfService::contains(std::string_view zone) const
 {
     return zones_.contains(std::string(zone));
 }
 
-int64_t ZonesOutOfService::revision() const
+StoreRevision ZonesOutOfService::revision() const
 {
-    int64_t revision = setRevision_;
+    StoreRevision revision = setRevision_;
     for (const auto &[zone, change] : changes_) {
         revision = std::max(revision, change.revision);
     }
--- a/src/fleet/tests/zonesoutofservice_tests.cpp
+++ b/src/fleet/tests/zonesoutofservice_tests.cpp
@@ -12,6 +12,7 @@
 
 namespace
 {
+constexpr int64_t ERA = 3;
 const std::array<std::string, 4> ZONES{"a", "b", "c", "d"};
 
 /// One write of the operator.
@@ -69,46 +70,46 @@
 
 TEST(ZonesOutOfService, laterSetReplacesEarlierOne)
 {
-    CHECK(zones.applySet({"a"}, 5));
-    CHECK(zones.applySet({"b"}, 6));
+    CHECK(zones.applySet({"a"}, {ERA, 5}));
+    CHECK(zones.applySet({"b"}, {ERA, 6}));
     CHECK_FALSE(zones.contains("a"));
     CHECK(zones.contains("b"));
-    LONGS_EQUAL(6, zones.revision());
+    CHECK(zones.revision() == StoreRevision(ERA, 6));
 }
 
 // Guards against a zone that is used again although nobody has taken it back: a read that was answered late cleared what newer news had told.
 TEST(ZonesOutOfService, lateReadDoesNotTakeBackAZoneThatWasEmptiedAfterIt)
 {
-    zones.applySet({"b"}, 101);
-    CHECK_FALSE(zones.applySet({}, 100));
-    zones.applyChange("a", true, 105);
+    zones.applySet({"b"}, {ERA, 101});
+    CHECK_FALSE(zones.applySet({}, {ERA, 100}));
+    zones.applyChange("a", true, {ERA, 105});
     CHECK(zones.zones() == (std::set<std::string>{"a", "b"}));
-    LONGS_EQUAL(105, zones.revision());
+    CHECK(zones.revision() == StoreRevision(ERA, 105));
 }
 
 TEST(ZonesOutOfService, lateChangeDoesNotUndoALaterOne)
 {
-    zones.applySet({}, 100);
-    CHECK(zones.applyChange("a", true, 101));
-    CHECK(zones.applyChange("a", false, 103));
-    CHECK_FALSE(zones.applyChange("a", true, 101));
+    zones.applySet({}, {ERA, 100});
+    CHECK(zones.applyChange("a", true, {ERA, 101}));
+    CHECK(zones.applyChange("a", false, {ERA, 103}));
+    CHECK_FALSE(zones.applyChange("a", true, {ERA, 101}));
     CHECK_FALSE(zones.contains("a"));
 }
 
 TEST(ZonesOutOfService, changesOfOneTransactionAreAllApplied)
 {
-    zones.applySet({"a"}, 100);
-    CHECK(zones.applyChange("a", false, 101));
-    CHECK(zones.applyChange("b", true, 101));
+    zones.applySet({"a"}, {ERA, 100});
+    CHECK(zones.applyChange("a", false, {ERA, 101}));
+    CHECK(zones.applyChange("b", true, {ERA, 101}));
     CHECK(zones.zones() == (std::set<std::string>{"b"}));
 }
 
 TEST(ZonesOutOfService, setKeepsZonesThatChangedAfterIt)
 {
-    zones.applySet({"c"}, 100);
-    zones.applyChange("a", true, 110);
-    zones.applyChange("c", false, 111);
-    CHECK(zones.applySet({"b", "c"}, 105));
+    zones.applySet({"c"}, {ERA, 100});
+    zones.applyChange("a", true, {ERA, 110});
+    zones.applyChange("c", false, {ERA, 111});
+    CHECK(zones.applySet({"b", "c"}, {ERA, 105}));
     CHECK(zones.zones() == (std::set<std::string>{"a", "b"}));
 }
 
@@ -126,13 +127,13 @@
             }
             const int64_t asOf = static_cast<int64_t>(random() % static_cast<unsigned>(model.revision() + 1));
             if (model.writes().empty() || random() % 3 == 0) {
-                told.applySet(model.zonesAt(asOf), asOf);
+                told.applySet(model.zonesAt(asOf), {ERA, asOf});
                 for (const std::string &zone : ZONES) {
                     knownAt[zone] = std::max(knownAt[zone], asOf);
                 }
             } else {
                 const Write &write = model.writes().at(random() % model.writes().size());
-                told.applyChange(write.zone, write.outOfService, write.revision);
+                told.applyChange(write.zone, write.outOfService, {ERA, write.revision});
                 knownAt[write.zone] = std::max(knownAt[write.zone], write.revision);
             }
             for (const std::string &zone : ZONES) {
@@ -141,3 +142,38 @@
         }
     }
 }
+
+TEST(ZonesOutOfService, aSetOfANewEraCountsAlthoughItsRevisionIsLower)
+{
+    zones.applySet({"a"}, {ERA, 100});
+    zones.applyChange("b", true, {ERA, 110});
+    CHECK(zones.applySet({"c"}, {ERA + 1, 20}));
+    CHECK(zones.zones() == (std::set<std::string>{"c"}));
+    CHECK(zones.applyChange("c", false, {ERA + 1, 21}));
+    CHECK_FALSE(zones.applySet({"a"}, {ERA, 120}));
+    CHECK(zones.zones().empty());
+}
+
+// Guards against a zone that is used again, or kept out for ever, after the store has come back without its evacuation.
+TEST(ZonesOutOfService, aRetainedZoneIsOutUntilItChangesOrItsRetentionEnds)
+{
+    zones.applySet({"a", "b"}, {ERA, 100});
+    zones.retain(zones.zones());
+    CHECK_FALSE(zones.applySet({}, {ERA + 1, 20}));
+    CHECK(zones.retained() == (std::set<std::string>{"a", "b"}));
+    CHECK_FALSE(zones.applyChange("a", true, {ERA + 1, 21}));
+    CHECK(zones.applyChange("a", false, {ERA + 1, 22}));
+    CHECK_FALSE(zones.contains("a"));
+    CHECK(zones.contains("b"));
+    CHECK(zones.endRetention());
+    CHECK(zones.zones().empty());
+}
+
+TEST(ZonesOutOfService, aRetainedZoneThatASetHasIsNoLongerRetained)
+{
+    zones.retain({"a"});
+    zones.applySet({"a"}, {ERA, 20});
+    CHECK(zones.retained().empty());
+    CHECK_FALSE(zones.endRetention());
+    CHECK(zones.contains("a"));
+}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -30,12 +30,16 @@
 #include <functional>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace daisymount::gateway
 {
 
 class Exchange;
 
+/// Revisions of the operators' keys in @p view.
+configsync::KeyRevisions keyRevisions(const fleet::FleetView &view);
+
 struct GatewayContext
 {
     fleet::NodeSettings settings;
@@ -72,9 +76,11 @@
         = [](const dispatch::GroupList &) {}; ///< Called with a list of rank groups that may be newer than groups.
     std::function<void()> onOwnKeysRead = [] {}; ///< Called when this gateway has read changed operator keys from the store.
     std::function<void()> onNewerKeysKnown = [] {}; ///< Called when a peer tells of newer operator keys.
+    std::vector<std::function<void()>> onNewStoreEra; ///< Called in turn after storeEra has risen and view and currency know of it.
     std::function<void()> onCrashRecorded = [] {}; ///< Called when this gateway has found that an upstream crashed.
 
     std::set<crashattribution::Fingerprint> trials; ///< Suspects that this gateway is trying at an upstream.
+    bool awaitsPeerKeys = false; ///< Set while a gateway that has just started does not know yet whether its peers have newer keys than the store.
     bool draining = false; ///< Set by SIGTERM: the gateway reports not ready and closes each connection after its response.
     Instant drainingSince{0};
     Instant callersGoneAt = Instant::max(); ///< When callers have given up their cached addresses of this gateway.
@@ -99,6 +105,10 @@
     void reportFailedCall(std::string_view target, std::string_view name, const transport::HttpReply &reply, Instant begin);
 
     GatewayContext(fleet::NodeSettings nodeSettings, const transport::asio::any_io_executor &reactor, peers::Peer self, uint64_t seed);
+
+private:
+    /// Voids what rests on revisions of an earlier era, and tells the components.
+    void beginStoreEra(int64_t era);
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -67,7 +67,7 @@
 
 asio::awaitable<bool> Exchange::run()
 {
-    if (!context_.view.hasConfig() || context_.mustRefuseAsStale(framework::monotonicNow())) {
+    if (!context_.view.hasConfig() || context_.awaitsPeerKeys || context_.mustRefuseAsStale(framework::monotonicNow())) {
         co_return co_await sendRefusal(ResultCode::ConfigurationStale,
                                        context_.retryDelay.choose(dispatch::RefusalCause::Outage, request_.headers.deadline.value_or(ASSUMED_TIME_LEFT)));
     }
@@ -353,8 +353,8 @@
                           {"ms", std::to_string(toMilliseconds(total).count())},
                           {"config_version", std::to_string(context_.view.config()->version)},
                           {"store_era", std::to_string(context_.storeEra.current())},
-                          {"config_revision", std::to_string(context_.view.configRevision())},
-                          {"upstreams_revision", std::to_string(context_.view.upstreamsRevision())}}});
+                          {"config_revision", std::to_string(context_.view.configRevision().revision)},
+                          {"upstreams_revision", std::to_string(context_.view.upstreamsRevision().revision)}}});
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -74,8 +74,8 @@
                         {{"upstream", known.upstream.id},
                          {"born_ms", std::to_string(known.upstream.bornMs)},
                          {"sequence", std::to_string(known.upstream.sequence)},
-                         {"revision", std::to_string(known.revision)},
-                         {"era", std::to_string(context.storeEra.current())},
+                         {"revision", std::to_string(known.revision.revision)},
+                         {"era", std::to_string(known.revision.era)},
                          {"told_by", "list"}}});
 }
 
@@ -89,9 +89,9 @@
                          {"era_before", std::to_string(before)},
                          {"told_by", std::string(toldBy)},
                          {"config_version", std::to_string(context.view.config()->version)},
-                         {"config_revision", std::to_string(context.view.configRevision())},
-                         {"zones_revision", std::to_string(context.view.zonesRevision())},
-                         {"upstreams_revision", std::to_string(context.view.upstreamsRevision())}}});
+                         {"config_revision", context.view.configRevision().toText()},
+                         {"zones_revision", context.view.zonesRevision().toText()},
+                         {"upstreams_revision", context.view.upstreamsRevision().toText()}}});
 }
 } // namespace
 
@@ -126,14 +126,17 @@
                     "malformed_entry",
                     ResultCode::BadMessage,
                     "",
-                    {{"upstream", item.key}, {"revision", std::to_string(item.revision)}, {"bytes", std::to_string(item.value.size())}}});
+                    {{"upstream", item.key}, {"revision", item.revision.toText()}, {"bytes", std::to_string(item.value.size())}}});
     };
     view.onOutdatedUpstream = [this](const fleet::StoredItem &item) {
-        log.report({"upstreams", "outdated_entry", ResultCode::Ok, "", {{"upstream", item.key}, {"revision", std::to_string(item.revision)}}});
+        log.report({"upstreams", "outdated_entry", ResultCode::Ok, "", {{"upstream", item.key}, {"revision", item.revision.toText()}}});
     };
     view.onUpstreamLeaving = [this](const fleet::KnownUpstream &known) { reportRegistration(*this, "leaving", ResultCode::Draining, known); };
     view.onUpstreamRemoved = [this](const fleet::KnownUpstream &known) { reportRegistration(*this, "removed", ResultCode::Ok, known); };
-    storeEra.onNewEra = [this](int64_t before, int64_t era, std::string_view toldBy) { reportNewEra(*this, before, era, toldBy); };
+    storeEra.onNewEra = [this](int64_t before, int64_t era, std::string_view toldBy) {
+        reportNewEra(*this, before, era, toldBy);
+        beginStoreEra(era);
+    };
     silenceDetector.onSilenceChanged = [this](std::string_view upstream, bool silent, framework::Duration silence) {
         metrics.onSilenceChange(silent);
         log.report({"upstreams",
@@ -155,6 +158,11 @@
     };
 }
 
+configsync::KeyRevisions keyRevisions(const fleet::FleetView &view)
+{
+    return {{view.configRevision(), view.config()->version}, view.zonesRevision(), view.zonesDigest()};
+}
+
 bool GatewayContext::nothingPending(Instant now) const
 {
     return openExchanges.empty() && requestsBeingRead == 0 && now - acceptedAt > FIRST_REQUEST_WAIT;
@@ -181,6 +189,18 @@
                  {"own_pauses_ms", toMs(loopPauses.within(begin, now))}}});
 }
 
+void GatewayContext::beginStoreEra(int64_t era)
+{
+    currency.onNewEra(era);
+    // Before the first configuration nothing can have been lost.
+    if (view.hasConfig()) {
+        view.onNewEra(framework::monotonicNow(), settings.bounds.evacuate);
+    }
+    for (const std::function<void()> &handler : onNewStoreEra) {
+        handler();
+    }
+}
+
 bool GatewayContext::mustRefuseAsStale(Instant now) const
 {
     const std::optional<framework::Duration> age = currency.evidenceAge(now);
@@ -285,7 +305,7 @@
 
 bool Gateway::ready() const
 {
-    return context_.view.hasConfig() && !context_.view.upstreams().empty() && !context_.draining;
+    return context_.view.hasConfig() && !context_.awaitsPeerKeys && !context_.view.upstreams().empty() && !context_.draining;
 }
 
 transport::ServerResponse Gateway::readyPage() const
--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -36,6 +36,11 @@
 /// A gateway goes on watching for this long after others do, since beliefs about the members change as heartbeats are lost.
 constexpr milliseconds WATCH_DUTY_RETENTION{3'000};
 constexpr milliseconds SYNC_INTERVAL{250};
+/// A gateway that starts waits this long for the first peer that serves.
+constexpr milliseconds FIRST_PEER_WAIT{400};
+constexpr milliseconds PEER_CHECK_INTERVAL{10};
+constexpr milliseconds PEER_KEYS_TIMEOUT{400};
+constexpr int MAX_PEER_CHECKS = 3;
 
 std::string millisecondsText(Duration duration)
 {
@@ -88,14 +93,17 @@
     while (true) {
         co_await waitForWatchDuty();
         bool read = false;
+        const int64_t era = context_.storeEra.current();
         if (context_.currency.confirmedRevision() == 0) {
             read = co_await readOperatorKeys();
         } else {
             read = co_await readChanges("watch", watchTimeout());
         }
         context_.peers.self().watchesStore = read;
-        failures = read ? 0 : failures + 1;
-        if (!read) {
+        // The first answer of a new era only tells that all keys have to be read.
+        const bool newEra = context_.storeEra.current() != era;
+        failures = read || newEra ? 0 : failures + 1;
+        if (failures > 0) {
             co_await transport::sleepFor(retryDelay(failures - 1));
         }
     }
@@ -116,9 +124,9 @@
         }
     }
     const std::set<std::string> before = context_.view.zonesOut();
-    context_.view.applyZonesOut(zones, page.revision);
-    reportZones(before, "read", page.revision);
-    context_.currency.onApplied(ownRevisions());
+    context_.view.applyZonesOut(zones, inCurrentEra(page.revision));
+    reportZones(before, "read", inCurrentEra(page.revision));
+    context_.currency.onApplied(keyRevisions(context_.view));
     context_.currency.onKeysRead(page.revision, askedAt);
     publishKeys();
     co_return true;
@@ -129,7 +137,12 @@
     const Instant askedAt = framework::monotonicNow();
     const int64_t after = context_.currency.confirmedRevision();
     const milliseconds timeout = wait + (wait == NO_WAIT ? CHECK_TIMEOUT : ANSWER_TIMEOUT);
+    const int64_t era = context_.storeEra.current();
     const auto reply = co_await call(name, platform::watchCall(platform::OPERATOR_PREFIX, after, wait), timeout);
+    if (context_.storeEra.current() != era) {
+        // The revisions of the new era may have passed the one that was asked for.
+        co_return false;
+    }
     const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
         BOOST_LEAF_AUTO(changes, platform::decodeChanges(reply.status, reply.body));
         int64_t lastChange = 0;
@@ -140,13 +153,13 @@
                 applyConfigItem(change.item, name);
             }
             if (const std::optional<std::string_view> zone = evacuatedZone(change.item.key)) {
-                context_.view.applyZoneChange(*zone, !change.deleted, change.item.revision);
+                context_.view.applyZoneChange(*zone, !change.deleted, inCurrentEra(change.item.revision));
             }
         }
-        reportZones(before, name, lastChange);
+        reportZones(before, name, inCurrentEra(lastChange));
         // A call without changes was answered when its wait had ended.
         const bool waited = changes.changes.empty() && framework::monotonicNow() - askedAt >= wait;
-        context_.currency.onApplied(ownRevisions());
+        context_.currency.onApplied(keyRevisions(context_.view));
         context_.currency.onChangesRead(lastChange, changes.revision, waited ? askedAt + wait : askedAt);
         if (!changes.changes.empty()) {
             publishKeys();
@@ -165,12 +178,12 @@
     if (item.key != platform::CONFIG_KEY) {
         return;
     }
-    const fleet::StoredItem offered{item.key, item.value, item.revision};
+    const fleet::StoredItem offered{item.key, item.value, inCurrentEra(item.revision)};
     const int64_t versionBefore = context_.view.config()->version;
-    const int64_t revisionBefore = context_.view.configRevision();
+    const storeera::StoreRevision revisionBefore = context_.view.configRevision();
     const Duration behind = context_.currency.behindFor(framework::monotonicNow());
     const bool applied = context_.view.applyConfig(offered);
-    const bool rejected = !applied && item.revision > context_.view.configRevision();
+    const bool rejected = !applied && offered.revision > context_.view.configRevision() && offered.revision.era == context_.view.configRevision().era;
     context_.log.report({"configuration",
                          applied        ? "applied"
                              : rejected ? "rejected"
@@ -178,15 +191,14 @@
                          rejected ? ResultCode::BadMessage : ResultCode::Ok,
                          "",
                          {{"told_by", std::string(source)},
-                          {"era", std::to_string(context_.storeEra.current())},
-                          {"revision", std::to_string(item.revision)},
+                          {"revision", offered.revision.toText()},
                           {"version", std::to_string(context_.view.config()->version)},
-                          {"revision_before", std::to_string(revisionBefore)},
+                          {"revision_before", revisionBefore.toText()},
                           {"version_before", std::to_string(versionBefore)},
                           {"behind_ms", millisecondsText(behind)}}});
 }
 
-void StoreSync::reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision)
+void StoreSync::reportZones(const std::set<std::string> &before, std::string_view source, storeera::StoreRevision revision)
 {
     const auto report = [&](const std::set<std::string> &zones, const std::set<std::string> &others, std::string_view event) {
         for (const std::string &zone : zones) {
@@ -195,10 +207,7 @@
                                      event,
                                      ResultCode::ZoneOutOfService,
                                      "",
-                                     {{"availability_zone", zone},
-                                      {"revision", std::to_string(revision)},
-                                      {"era", std::to_string(context_.storeEra.current())},
-                                      {"told_by", std::string(source)}}});
+                                     {{"availability_zone", zone}, {"revision", revision.toText()}, {"told_by", std::string(source)}}});
             }
         }
     };
@@ -207,11 +216,6 @@
     report(before, now, "zone_back");
 }
 
-configsync::KeyRevisions StoreSync::ownRevisions() const
-{
-    return {context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()};
-}
-
 void StoreSync::publishKeys()
 {
     publishChange();
@@ -246,7 +250,7 @@
                          "",
                          {{"behind_ms", millisecondsText(context_.currency.behindFor(now))},
                           {"evidence_age_ms", age ? millisecondsText(*age) : std::string("none")},
-                          {"revision", std::to_string(context_.view.configRevision())}}});
+                          {"revision", context_.view.configRevision().toText()}}});
 }
 
 asio::awaitable<void> StoreSync::syncOperatorKeys()
@@ -293,28 +297,78 @@
     if (!snapshot) {
         co_return false;
     }
+    co_return applyKeysOfPeer(peer, *snapshot);
+}
+
+bool StoreSync::applyKeysOfPeer(std::string_view peer, const peers::FleetSnapshot &snapshot)
+{
+    context_.storeEra.onPeerEra(std::max(snapshot.config.revision.era, snapshot.zonesRevision.era), peer);
     const Duration behind = context_.currency.behindFor(framework::monotonicNow());
-    const bool newConfig = context_.view.applyConfig(snapshot->config);
+    const int64_t versionBefore = context_.view.config()->version;
+    const bool newConfig = context_.view.applyConfig(snapshot.config);
     if (newConfig) {
         context_.log.report({"configuration",
                              "applied_from_peer",
                              ResultCode::Ok,
                              "",
-                             {{"peer", peer},
-                              {"era", std::to_string(context_.storeEra.current())},
-                              {"revision", std::to_string(snapshot->config.revision)},
+                             {{"peer", std::string(peer)},
+                              {"revision", snapshot.config.revision.toText()},
                               {"version", std::to_string(context_.view.config()->version)},
+                              {"version_before", std::to_string(versionBefore)},
                               {"behind_ms", millisecondsText(behind)}}});
     }
-    const bool newZones = snapshot->zonesRevision > context_.view.zonesRevision();
+    const bool newZones = snapshot.zonesRevision > context_.view.zonesRevision();
     const std::set<std::string> before = context_.view.zonesOut();
-    context_.view.applyZonesOut(snapshot->zonesOut, snapshot->zonesRevision);
-    reportZones(before, peer, snapshot->zonesRevision);
+    context_.view.applyZonesOut(snapshot.zonesOut, snapshot.zonesRevision);
+    reportZones(before, peer, snapshot.zonesRevision);
     if (newConfig || newZones) {
-        context_.currency.onApplied(ownRevisions());
+        context_.currency.onApplied(keyRevisions(context_.view));
         publishChange();
     }
-    co_return newConfig || newZones;
+    return newConfig || newZones;
+}
+
+asio::awaitable<void> StoreSync::checkKeysWithPeers()
+{
+    const Instant begin = framework::monotonicNow();
+    int checks = 0;
+    while (context_.awaitsPeerKeys) {
+        co_await transport::sleepFor(PEER_CHECK_INTERVAL);
+        const Instant now = framework::monotonicNow();
+        const std::vector<peers::Peer> serving = context_.peers.serving(now);
+        if (!context_.view.hasConfig() || (serving.empty() && now - begin < FIRST_PEER_WAIT)) {
+            continue;
+        }
+        const auto knowsMore = [&](const peers::Peer &peer) {
+            return peer.retainsZones || peer.storeEra < context_.storeEra.current()
+                || configsync::isNewer(peer.keyReport().revisions, keyRevisions(context_.view));
+        };
+        const auto source = std::ranges::find_if(serving, knowsMore);
+        bool adopted = source == serving.end();
+        if (!adopted) {
+            adopted = co_await adoptKeys(*source);
+        }
+        context_.awaitsPeerKeys = !adopted && ++checks < MAX_PEER_CHECKS;
+    }
+    onChange_();
+}
+
+asio::awaitable<bool> StoreSync::adoptKeys(peers::Peer peer)
+{
+    const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer.name, peer.ip, peers::KEYS_PAGE, PEER_KEYS_TIMEOUT);
+    if (!snapshot) {
+        co_return false;
+    }
+    applyKeysOfPeer(peer.name, *snapshot);
+    std::set<std::string> retained = snapshot->zonesRetained;
+    if (snapshot->zonesRevision.era < context_.storeEra.current()) {
+        // The peer has not heard of the new era yet.
+        retained.insert(snapshot->zonesOut.begin(), snapshot->zonesOut.end());
+    }
+    const std::set<std::string> before = context_.view.zonesOut();
+    context_.view.retainZonesOut(retained, framework::monotonicNow() + context_.settings.bounds.evacuate);
+    reportZones(before, peer.name, snapshot->zonesRevision);
+    co_return true;
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -64,19 +64,23 @@
 
 const std::string &PeerLink::keysPage()
 {
-    const configsync::KeyRevisions revisions{context_.view.configRevision(), context_.view.zonesRevision(), context_.view.zonesDigest()};
-    if (keysPage_.empty() || revisions != keysPageRevisions_) {
+    const fleet::FleetView &view = context_.view;
+    const configsync::KeyRevisions revisions = keyRevisions(view);
+    if (keysPage_.empty() || revisions != keysPageRevisions_ || view.retainedZonesOut() != keysPageRetained_) {
         keysPageRevisions_ = revisions;
-        keysPage_ = peers::encodeSnapshot({context_.view.configItem(), context_.view.zonesOut(), context_.view.zonesRevision(), {}});
+        keysPageRetained_ = view.retainedZonesOut();
+        keysPage_ = peers::encodeSnapshot({view.configItem(), view.storedZonesOut(), view.zonesRevision(), {}, keysPageRetained_});
     }
     return keysPage_;
 }
 
 void PeerLink::learnKeys(const peers::Heartbeat &heartbeat, Instant sentAt, Instant now)
 {
+    context_.storeEra.onPeerEra(heartbeat.sender.storeEra, heartbeat.sender.name);
     bool newer = context_.currency.onPeerReport(heartbeat.sender.keyReport(), sentAt, now);
     for (const peers::RelayedPeer &relayed : heartbeat.others) {
         if (relayed.peer.name != context_.settings.name) {
+            context_.storeEra.onPeerEra(relayed.peer.storeEra, relayed.peer.name);
             newer = context_.currency.onPeerReport(relayed.peer.keyReport(), sentAt - relayed.age, now) || newer;
         }
     }
@@ -85,12 +89,13 @@
     }
 }
 
-void PeerLink::broadcastHeartbeat()
+std::string PeerLink::ownHeartbeat(Instant now)
 {
-    const Instant now = framework::monotonicNow();
     const auto sinceRead = std::chrono::duration_cast<milliseconds>(now - context_.upstreamsReadAt);
     context_.peers.self().storeReadAge = std::min(sinceRead, milliseconds{peers::Peer::NEVER_READ});
     const configsync::KeyReport keys = context_.currency.report(now);
+    context_.peers.self().storeEra = context_.storeEra.current();
+    context_.peers.self().retainsZones = !context_.view.retainedZonesOut().empty();
     context_.peers.self().confirmedRevision = keys.confirmedRevision;
     context_.peers.self().confirmedAge = keys.confirmedAge;
     context_.peers.self().inFlight = context_.dispatcher.inFlightByGroup();
@@ -99,8 +104,15 @@
     peers::Heartbeat heartbeat = context_.peers.heartbeat(now);
     heartbeat.leaving = context_.dispatcher.leavingToAnnounce(now);
     heartbeat.demand = context_.loadControl.demand(now);
+    return peers::encodeHeartbeat(heartbeat);
+}
+
+void PeerLink::broadcastHeartbeat()
+{
+    const Instant now = framework::monotonicNow();
+    const std::string heartbeat = ownHeartbeat(now);
     const std::vector<std::string> targets = context_.peers.targets(now);
-    send(peers::encodeHeartbeat(heartbeat), targets);
+    send(heartbeat, targets);
     broadcastCrashUpdate(targets);
 }
 
@@ -257,7 +269,11 @@
             BOOST_LEAF_AUTO(heartbeat, peers::decodeHeartbeat(message));
             // The heartbeat may have waited while this gateway read nothing.
             const Instant sentAt = context_.loopPauses.earliestArrival(now);
-            context_.peers.onHeartbeat(heartbeat, sentAt);
+            if (context_.peers.onHeartbeat(heartbeat, sentAt)) {
+                // A gateway that starts refuses requests until it has heard of its peers' keys.
+                const std::string target[] = {heartbeat.sender.ip};
+                send(ownHeartbeat(now), target);
+            }
             learnKeys(heartbeat, sentAt, now);
             applyLeavingUpstreams(heartbeat, now);
             context_.loadControl.onPeerDemand(heartbeat.sender.name, heartbeat.demand, now);
--- a/src/gateway/internal/storeclient.cpp
+++ b/src/gateway/internal/storeclient.cpp
@@ -34,6 +34,7 @@
                               {"status", std::to_string(reply.status)},
                               {"answer_era", std::to_string(era)},
                               {"era", std::to_string(context_.storeEra.current())}}});
+        co_return StoreReply{};
     }
     co_return StoreReply{reply.status, std::move(reply.body), era};
 }
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -7,6 +7,9 @@
 #include "platform/fleetcodec.h"
 #include "transport/tasks.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace daisymount::gateway
 {
 
@@ -31,6 +34,8 @@
 constexpr milliseconds PEER_TIMEOUT{400};
 constexpr milliseconds REGISTRATION_TTL{9'000};
 constexpr milliseconds REGISTRATION_RENEWAL_INTERVAL{3'000};
+/// Members spread their new registrations over this time after the store has come back without them.
+constexpr milliseconds MAX_REGISTRATION_DELAY{1'000};
 constexpr milliseconds MAX_MEMBER_POLL_INTERVAL{5'000};
 /// The store's largest value is 1 MB. A page of a range is about as large, in base64, and a watch may return several versions of a value.
 constexpr uint64_t MAX_STORE_REPLY_BYTES = 8U << 20U;
@@ -40,8 +45,9 @@
 } // namespace
 
 StoreSync::StoreSync(GatewayContext &context, std::function<void()> onChange)
-    : context_(context), onChange_(std::move(onChange)), watchCaller_(context.executor), syncWake_(context.executor)
+    : context_(context), onChange_(std::move(onChange)), watchCaller_(context.executor), syncWake_(context.executor), registrationWake_(context.executor)
 {
+    context.onNewStoreEra.emplace_back([this] { onNewStoreEra(); });
     const auto pausedWithin = [&context](Instant from, Instant to) { return context.loopPauses.within(from, to); };
     watchCaller_.setPausedWithin(pausedWithin);
 }
@@ -54,6 +60,21 @@
     transport::spawnLoop(context_.executor, "discover_members", [this] { return discoverMembers(); });
     transport::spawnLoop(context_.executor, "sync_operator_keys", [this] { return syncOperatorKeys(); });
     transport::spawnLoop(context_.executor, "sync_upstreams", [this] { return syncUpstreamsFromPeers(); });
+    context_.awaitsPeerKeys = true;
+    transport::spawnTask(context_.executor, "check_keys_with_peers", checkKeysWithPeers());
+}
+
+void StoreSync::onNewStoreEra()
+{
+    // The copy may have given the lease to another process.
+    leaseId_ = 0;
+    registrationWake_.cancel();
+    syncWake_.cancel();
+}
+
+storeera::StoreRevision StoreSync::inCurrentEra(int64_t revision) const
+{
+    return {context_.storeEra.current(), revision};
 }
 
 bool StoreSync::storeReachable() const
@@ -86,7 +107,7 @@
         const bool regained = outage_.onAnswered(now);
         if (!reachable_) {
             reachable_ = true;
-            context_.log.report({"store", "store_regained", ResultCode::Ok, "", {{"config_revision", std::to_string(context_.view.configRevision())}}});
+            context_.log.report({"store", "store_regained", ResultCode::Ok, "", {{"config_revision", context_.view.configRevision().toText()}}});
         }
         if (regained) {
             context_.view.onStoreRegained(now);
@@ -104,7 +125,7 @@
 void StoreSync::publishChange()
 {
     auto &revisions = context_.peers.self().revisions;
-    revisions.config = context_.view.configRevision();
+    revisions.config = keyRevisions(context_.view).config;
     revisions.zones = context_.view.zonesRevision();
     revisions.zonesDigest = context_.view.zonesDigest();
     revisions.upstreams = context_.view.upstreamsRevision();
@@ -114,8 +135,14 @@
 asio::awaitable<bool> StoreSync::readRange(std::string prefix, ReadConsistency freshness, platform::StorePage &all)
 {
     std::string after;
+    int64_t era = 0;
     while (true) {
         const StoreReply reply = co_await call("range", platform::rangeCall(prefix, after, freshness), CALL_TIMEOUT);
+        // Pages of different eras must not be joined.
+        if (!after.empty() && reply.era != era) {
+            co_return false;
+        }
+        era = reply.era;
         bool more = false;
         const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
             BOOST_LEAF_AUTO(page, platform::decodePage(reply.status, reply.body));
@@ -145,9 +172,9 @@
         co_return false;
     }
     fleet::Snapshot snapshot;
-    snapshot.revision = page.revision;
+    snapshot.revision = inCurrentEra(page.revision);
     for (platform::StoreItem &item : page.items) {
-        snapshot.items.push_back({item.key.substr(platform::UPSTREAM_PREFIX.size()), std::move(item.value), item.revision});
+        snapshot.items.push_back({item.key.substr(platform::UPSTREAM_PREFIX.size()), std::move(item.value), inCurrentEra(item.revision)});
     }
     context_.upstreamsReadAt = askedAt;
     context_.view.applyUpstreams(snapshot, framework::monotonicNow());
@@ -160,6 +187,7 @@
     int failures = 0;
     while (true) {
         bool read = false;
+        const int64_t era = context_.storeEra.current();
         const bool expedite = context_.fastUpstreamPolling;
         const std::optional<peers::Peer> reader = expedite ? std::nullopt : context_.peers.zoneReader(framework::monotonicNow());
         if (reader) {
@@ -174,11 +202,13 @@
         failures = read ? 0 : failures + 1;
         const milliseconds delay = read ? context_.settings.bounds.drain / READS_PER_DRAIN : retryDelay(failures - 1);
         const Instant next = framework::monotonicNow() + (expedite ? std::min(delay, RETRY_DELAY) : delay);
-        // Interrupts the delay when a missing rank makes a new upstream list urgent.
-        while (framework::monotonicNow() < next && expedite == context_.fastUpstreamPolling) {
+        // Interrupts the delay when a missing rank or a new era makes a new upstream list urgent.
+        while (framework::monotonicNow() < next && expedite == context_.fastUpstreamPolling && (era == context_.storeEra.current() || era == 0)) {
             co_await transport::sleepFor(UPSTREAMS_WANTED_POLL_INTERVAL);
         }
+        const std::set<std::string> zones = context_.view.zonesOut();
         if (context_.view.expire(framework::monotonicNow())) {
+            reportZones(zones, "retention_ended", context_.view.zonesRevision());
             onChange_();
         }
     }
@@ -192,8 +222,9 @@
         if (kept.code == ResultCode::LeaseLapsed) {
             leaseId_ = 0;
         }
-        co_return static_cast<bool>(kept);
+        co_return static_cast<bool>(kept) && leaseId_ != 0;
     }
+    const int64_t era = context_.storeEra.current();
     const auto granted = co_await call("lease", platform::grantLeaseCall(REGISTRATION_TTL), CALL_TIMEOUT);
     int64_t lease = 0;
     const framework::Ret ret = framework::evaluate([&]() -> framework::Result<void> {
@@ -213,10 +244,10 @@
         BOOST_LEAF_CHECK(platform::decodeTransaction(written.status, written.body));
         return {};
     });
-    if (done) {
+    if (done && era == context_.storeEra.current()) {
         leaseId_ = lease;
     }
-    co_return static_cast<bool>(done);
+    co_return static_cast<bool>(done) && leaseId_ != 0;
 }
 
 asio::awaitable<void> StoreSync::maintainRegistration()
@@ -224,7 +255,12 @@
     int failures = 0;
     while (true) {
         failures = co_await renewRegistration() ? 0 : failures + 1;
-        co_await transport::sleepFor(failures == 0 ? REGISTRATION_RENEWAL_INTERVAL : std::max(RETRY_DELAY * 4, retryDelay(failures)));
+        registrationWake_.expires_after(failures == 0 ? REGISTRATION_RENEWAL_INTERVAL : std::max(RETRY_DELAY * 4, retryDelay(failures)));
+        const auto [woken] = co_await registrationWake_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (woken) {
+            // All gateways hear of a new era at the same moment.
+            co_await transport::sleepFor(milliseconds{std::uniform_int_distribution<int64_t>(0, MAX_REGISTRATION_DELAY.count())(context_.random)});
+        }
     }
 }
 
@@ -280,11 +316,14 @@
 asio::awaitable<bool> StoreSync::fetchUpstreams(peers::Peer peer)
 {
     const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer.name, peer.ip, peers::UPSTREAMS_PAGE, PEER_TIMEOUT);
-    if (snapshot) {
-        context_.view.applyUpstreams(snapshot->upstreams, framework::monotonicNow());
-        publishChange();
+    if (!snapshot) {
+        co_return false;
     }
-    co_return snapshot.has_value();
+    context_.storeEra.onPeerEra(snapshot->upstreams.revision.era, peer.name);
+    context_.view.applyUpstreams(snapshot->upstreams, framework::monotonicNow());
+    publishChange();
+    // A peer that has not heard of the new era says nothing about the store as it is now.
+    co_return snapshot->upstreams.revision.era == context_.storeEra.current();
 }
 
 asio::awaitable<std::optional<peers::FleetSnapshot>> StoreSync::fetchPage(std::string peer, std::string ip, std::string_view page, milliseconds timeout)
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -20,6 +20,7 @@
 
     void start();
     /// Sends a heartbeat immediately instead of at the next interval, e.g. when this gateway starts to drain.
+    std::string ownHeartbeat(Instant now);
     void broadcastHeartbeat();
 
 private:
@@ -47,6 +48,7 @@
     transport::asio::ip::udp::socket socket_;
     std::string keysPage_; ///< Encoded once for each revision; empty before the first request.
     configsync::KeyRevisions keysPageRevisions_; ///< Of keysPage_.
+    std::set<std::string> keysPageRetained_; ///< Zones that keysPage_ tells as retained.
 };
 
 } // namespace daisymount::gateway
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -58,7 +58,6 @@
     std::vector<configsync::KeySource> keySources(Instant now) const;
     /// Logs when the operator keys become stale, or are current again.
     void reportStaleness(Instant now);
-    configsync::KeyRevisions ownRevisions() const;
     /// Tells others of operator keys that were read from the store.
     void publishKeys();
     transport::asio::awaitable<void> pollUpstreams();
@@ -72,11 +71,21 @@
     transport::asio::awaitable<std::optional<peers::FleetSnapshot>> fetchPage(std::string peer, std::string ip, std::string_view page, milliseconds timeout);
 
     transport::asio::awaitable<StoreReply> call(std::string_view name, platform::HttpCall call, milliseconds timeout);
+    /// Reads all items with @p prefix. Returns false if the store did not answer, or began a new era meanwhile.
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
+    /// Compares the first keys with those of peers, which know better if the store has come back from an older copy.
+    transport::asio::awaitable<void> checkKeysWithPeers();
+    /// Fetches from @p peer what it has out of service, or newer than this gateway. Returns true if its page was read.
+    transport::asio::awaitable<bool> adoptKeys(peers::Peer peer);
+    /// Applies the newer ones of the keys of @p peer. Returns true if there were any.
+    bool applyKeysOfPeer(std::string_view peer, const peers::FleetSnapshot &snapshot);
+    void onNewStoreEra();
+    /// Of an answer that has just been received.
+    storeera::StoreRevision inCurrentEra(int64_t revision) const;
     /// @p source is the call that returned @p item.
     void applyConfigItem(const platform::StoreItem &item, std::string_view source);
     /// Logs the zones that differ from @p before. @p source is the call or the peer that told of them.
-    void reportZones(const std::set<std::string> &before, std::string_view source, int64_t revision);
+    void reportZones(const std::set<std::string> &before, std::string_view source, storeera::StoreRevision revision);
     /// Evaluates the end of a call that began at @p askedAt.
     void recordStoreResponse(bool answered, Instant askedAt);
     void publishChange();
@@ -87,7 +96,8 @@
     transport::asio::steady_timer syncWake_; ///< Ends the pause of syncOperatorKeys().
     Instant watchNeededAt_{0}; ///< When this gateway last had to watch the store.
     bool wasStale_ = false; ///< Last state that reportStaleness() has logged.
-    int64_t leaseId_ = 0; ///< 0 if not registered.
+    transport::asio::steady_timer registrationWake_; ///< Ends the pause of maintainRegistration().
+    int64_t leaseId_ = 0; ///< Granted in the current era; 0 if not registered in it.
     StoreOutage outage_;
     Instant upstreamsUpdatedAt_{0}; ///< Last update from the store, or from the gateway that reads it for this zone.
     bool reachable_ = false;
--- a/src/gateway/tests/falseresponses_tests.cpp
+++ b/src/gateway/tests/falseresponses_tests.cpp
@@ -283,7 +283,7 @@
             asio::ip::tcp::acceptor acceptor(fixture->reactor, {asio::ip::address_v4::loopback(), 0});
             const std::string value = R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(acceptor.local_endpoint().port())
                 + R"(","zone":"z","slots":8,"state":"ready","cold_remaining_ms":0,"born":1})";
-            fixture->context.view.applyUpstreams({{{"u1", value, 50}}, 50}, framework::monotonicNow());
+            fixture->context.view.applyUpstreams({{{"u1", value, {0, 50}}}, {0, 50}}, framework::monotonicNow());
             fixture->context.dispatcher.onFleetChange(fixture->context.view, framework::monotonicNow());
             asio::co_spawn(fixture->reactor, answerAndReset(&acceptor, body), asio::detached);
             std::string bytes = request("POST", path);
--- a/src/gateway/tests/fleetfixture.h
+++ b/src/gateway/tests/fleetfixture.h
@@ -260,7 +260,7 @@
             added.context.peers.addAddress(gateway->context.settings.ip, framework::monotonicNow());
         }
         added.context.peers.onRegistryRead();
-        added.context.view.applyConfig({"c", config_, 1});
+        added.context.view.applyConfig({"c", config_, {0, 1}});
         publishRegistrations();
         added.link.start();
         return added;
@@ -318,10 +318,10 @@
         ++revision_;
         std::vector<fleet::StoredItem> items;
         for (const auto &upstream : upstreams_) {
-            items.push_back({upstream->id(), upstream->registration(service_), revision_});
+            items.push_back({upstream->id(), upstream->registration(service_), {0, revision_}});
         }
         for (const auto &gateway : gateways_) {
-            gateway->context.view.applyUpstreams({items, revision_}, framework::monotonicNow());
+            gateway->context.view.applyUpstreams({items, {0, revision_}}, framework::monotonicNow());
             gateway->context.dispatcher.onFleetChange(gateway->context.view, framework::monotonicNow());
         }
     }
--- a/src/gateway/tests/frozenupstream_tests.cpp
+++ b/src/gateway/tests/frozenupstream_tests.cpp
@@ -204,7 +204,7 @@
             items.push_back({"e" + std::to_string(i),
                              R"({"service":"model","address":")" + engines.servers[i]->address()
                                  + R"(","zone":"z","slots":12,"state":"ready","cold_remaining_ms":0,"born":1})",
-                             2});
+                             {0, 2}});
         }
         for (size_t i = 1; i <= GATEWAYS; ++i) {
             fleet::NodeSettings settings;
@@ -226,8 +226,8 @@
                 gateway->context.peers.addAddress(other->context.settings.ip, framework::monotonicNow());
             }
             gateway->context.peers.onRegistryRead();
-            gateway->context.view.applyConfig({"c", CONFIG, 1});
-            gateway->context.view.applyUpstreams({items, 2}, framework::monotonicNow());
+            gateway->context.view.applyConfig({"c", CONFIG, {0, 1}});
+            gateway->context.view.applyUpstreams({items, {0, 2}}, framework::monotonicNow());
             gateway->context.dispatcher.onFleetChange(gateway->context.view, framework::monotonicNow());
             gateway->link.start();
         }
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -353,7 +353,7 @@
         asio::detached);
     const std::string value = R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(acceptor.local_endpoint().port())
         + R"(","zone":"z","slots":8,"state":"ready","cold_remaining_ms":0,"born":1})";
-    in.context.view.applyUpstreams({{{"u1", value, 50}}, 50}, framework::monotonicNow());
+    in.context.view.applyUpstreams({{{"u1", value, {0, 50}}}, {0, 50}}, framework::monotonicNow());
     in.context.dispatcher.onFleetChange(in.context.view, framework::monotonicNow());
     const CallerResult result = in.call(request("POST", "/unsafe/", "", std::string(90'000, 'x')));
     LONGS_EQUAL(413, result.status);
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -168,8 +168,8 @@
         const std::string value = R"({"service":")" + service + R"(","address":")" + upstreams_.back()->address()
             + R"(","zone":"z","slots":8,"state":"ready","cold_remaining_ms":0,"born":1})";
         ++revision_;
-        items_.push_back({id, value, revision_});
-        context.view.applyUpstreams({items_, revision_}, framework::monotonicNow());
+        items_.push_back({id, value, {0, revision_}});
+        context.view.applyUpstreams({items_, {0, revision_}}, framework::monotonicNow());
         context.dispatcher.onFleetChange(context.view, framework::monotonicNow());
         return *upstreams_.back();
     }
@@ -177,7 +177,7 @@
     void configure(const std::string &json)
     {
         ++revision_;
-        context.view.applyConfig({"c", json, revision_});
+        context.view.applyConfig({"c", json, {0, revision_}});
         context.dispatcher.onFleetChange(context.view, framework::monotonicNow());
     }
 
--- a/src/gateway/tests/storesync_tests.cpp
+++ b/src/gateway/tests/storesync_tests.cpp
@@ -211,11 +211,11 @@
     LONGS_EQUAL(2, fixture.store.ranges);
     // While the read is under way, zone b is emptied and a peer tells of it.
     const int64_t emptiedAt = fixture.store.revision + 1;
-    context.view.applyZonesOut({"b"}, emptiedAt);
-    const configsync::KeyRevisions own{context.view.configRevision(), context.view.zonesRevision(), context.view.zonesDigest()};
+    context.view.applyZonesOut({"b"}, {0, emptiedAt});
+    const configsync::KeyRevisions own = keyRevisions(context.view);
     context.currency.onApplied(own);
     const framework::Instant now = framework::monotonicNow();
-    context.currency.onPeerReport({own, emptiedAt, std::chrono::milliseconds{0}}, now, now);
+    context.currency.onPeerReport({own, 0, emptiedAt, std::chrono::milliseconds{0}}, now, now);
     fixture.world.runUntil([] { return false; }, std::chrono::milliseconds{400});
     CHECK(context.view.zonesOut() == (std::set<std::string>{"b"}));
     fixture.store.revision += 5;
@@ -281,7 +281,7 @@
     GatewayContext &context = fixture.world.context;
     context.settings.store.address = "127.0.0.1:1";
     peers::FleetSnapshot snapshot;
-    snapshot.config = {"op/config", configOf(8), 50};
+    snapshot.config = {"op/config", configOf(8), {0, 50}};
     const std::string body = peers::encodeSnapshot(snapshot);
     auto peer = std::make_unique<ScriptedUpstream>(
         fixture.world.reactor.get_executor(),
@@ -290,7 +290,7 @@
     informed.name = "other";
     informed.ip = "127.0.0.1";
     informed.serving = true;
-    informed.revisions.config = 50;
+    informed.revisions.config.revision = {0, 50};
     const std::string address = peer->address();
     context.settings.firstPeerPort = static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
     fixture.sync->start();
@@ -329,7 +329,7 @@
             peer.zone = context.settings.zone;
             peer.ip = "127.0.0.1";
             peer.serving = peer.watchesStore = true;
-            peer.revisions.config = revision;
+            peer.revisions.config.revision = {0, revision};
             context.peers.onHeartbeat({peer, {}}, framework::monotonicNow());
         }
     };
@@ -368,7 +368,7 @@
 
     explicit DependentFixture(StoreSyncFixture &owner) : fixture(owner)
     {
-        snapshot.upstreams = {{{"u", upstream, 9}}, 10};
+        snapshot.upstreams = {{{"u", upstream, {0, 9}}}, {0, 10}};
         listener = std::make_unique<ScriptedUpstream>(fixture.world.reactor.get_executor(),
                                                       [this](transport::ConnectionPtr connection, ReceivedRequest) -> asio::awaitable<void> {
                                                           co_await send(connection, reply(200, peers::encodeSnapshot(snapshot)));
@@ -417,7 +417,7 @@
     {
         fixture.store.upstreams.clear();
         fixture.store.revision += 10;
-        snapshot.upstreams = {{}, fixture.store.revision};
+        snapshot.upstreams = {{}, {0, fixture.store.revision}};
     }
 };
 
--- a/src/gateway/tests/upstreamtrouble_tests.cpp
+++ b/src/gateway/tests/upstreamtrouble_tests.cpp
@@ -531,7 +531,7 @@
         [](GatewayFixture *in) -> asio::awaitable<void> {
             co_await transport::sleepFor(milliseconds{200});
             // The upstream's registration expires, as if its heartbeats were late or missing.
-            in->context.view.applyUpstreams({{}, 1'000}, framework::monotonicNow());
+            in->context.view.applyUpstreams({{}, {0, 1'000}}, framework::monotonicNow());
             in->context.dispatcher.onFleetChange(in->context.view, framework::monotonicNow());
         }(fixture),
         asio::detached);
--- a/src/peers/internal/compactcodec.h
+++ b/src/peers/internal/compactcodec.h
@@ -32,6 +32,14 @@
         number(static_cast<uint64_t>(value + 1));
     }
 
+    /// Short if @p value is near @p base.
+    void relativeNumber(int64_t value, int64_t base)
+    {
+        const uint64_t difference = static_cast<uint64_t>(value) - static_cast<uint64_t>(base);
+        const uint64_t sign = (difference >> 63U) != 0 ? ~uint64_t{0} : 0;
+        number((difference << 1U) ^ sign);
+    }
+
     void text(const std::string &value)
     {
         const auto [entry, added] = indexOf_.try_emplace(value, texts_.size());
@@ -93,6 +101,13 @@
         return static_cast<int64_t>(value) - 1;
     }
 
+    framework::Result<int64_t> relativeNumber(int64_t base)
+    {
+        BOOST_LEAF_AUTO(coded, number(std::numeric_limits<uint64_t>::max()));
+        const uint64_t sign = (coded & 1U) != 0 ? ~uint64_t{0} : 0;
+        return static_cast<int64_t>(static_cast<uint64_t>(base) + ((coded >> 1U) ^ sign));
+    }
+
     framework::Result<void> readTexts()
     {
         BOOST_LEAF_AUTO(count, number(MAX_TEXTS));
--- a/src/peers/internal/heartbeatcodec.cpp
+++ b/src/peers/internal/heartbeatcodec.cpp
@@ -16,7 +16,7 @@
 using framework::Result;
 using framework::ResultCode;
 
-constexpr std::string_view MAGIC = "DH4";
+constexpr std::string_view MAGIC = "DH5";
 constexpr uint64_t MAX_ROWS = 256;
 constexpr int64_t MAX_AGE_MS = 24LL * 60 * 60 * 1000;
 /// Rates are sent as whole multiples of 1 / RATE_UNITS requests per second.
@@ -29,13 +29,42 @@
 constexpr uint64_t SERVING = 1;
 constexpr uint64_t CONTROLS_MAPS = 2;
 constexpr uint64_t WATCHES_STORE = 4;
+constexpr uint64_t RETAINS_ZONES = 8;
+/// Revisions of the upstreams and zones of an era before that of the member. They are older than those of any other member of that era.
+constexpr uint64_t UPSTREAMS_OF_EARLIER_ERA = 16;
+constexpr uint64_t ZONES_OF_EARLIER_ERA = 32;
+constexpr uint64_t CONFIG_OF_EARLIER_ERA = 64;
+/// The member knows another era of the store than the one that sends the heartbeat.
+constexpr uint64_t OTHER_ERA = 128;
+constexpr uint64_t ALL_FLAGS = 255;
+
+/// What most members have in common with the one that sends the heartbeat. Numbers are sent relative to it.
+struct CommonState
+{
+    int64_t storeEra = 0;
+    configsync::ConfigRevision config;
+};
+
+uint64_t flagsOf(const Peer &peer, int64_t senderEra)
+{
+    return (peer.serving ? SERVING : 0) | (peer.controlsMaps ? CONTROLS_MAPS : 0) | (peer.watchesStore ? WATCHES_STORE : 0)
+        | (peer.retainsZones ? RETAINS_ZONES : 0) | (peer.revisions.upstreams.era < peer.storeEra ? UPSTREAMS_OF_EARLIER_ERA : 0)
+        | (peer.revisions.zones.era < peer.storeEra ? ZONES_OF_EARLIER_ERA : 0)
+        | (peer.revisions.config.revision.era < peer.storeEra ? CONFIG_OF_EARLIER_ERA : 0) | (peer.storeEra != senderEra ? OTHER_ERA : 0);
+}
+
+/// An era of which only is told that it is earlier than @p era.
+int64_t eraBefore(int64_t era)
+{
+    return std::max<int64_t>(0, era - 1);
+}
 
 milliseconds boundedAge(int64_t ageMs)
 {
     return milliseconds{std::clamp<int64_t>(ageMs, 0, MAX_AGE_MS)};
 }
 
-void writePeer(CompactWriter &writer, const Peer &peer)
+void writePeer(CompactWriter &writer, const Peer &peer, const CommonState &common)
 {
     writer.text(peer.name);
     writer.signedNumber(peer.incarnation);
@@ -43,7 +72,7 @@
     writer.text(peer.callerAddress.substr(peer.callerAddress.starts_with(peer.ip) ? peer.ip.size() : 0));
     writer.number(peer.callerAddress.starts_with(peer.ip) ? 1 : 0);
     writer.text(peer.zone);
-    writer.number((peer.serving ? SERVING : 0) | (peer.controlsMaps ? CONTROLS_MAPS : 0) | (peer.watchesStore ? WATCHES_STORE : 0));
+    writer.number(flagsOf(peer, common.storeEra));
     writer.number(peer.groupsDown.size());
     for (const std::string &service : peer.groupsDown) {
         writer.text(service);
@@ -54,9 +83,16 @@
         writer.number(static_cast<uint64_t>(std::max(0, count)));
     }
     writer.signedNumber(peer.storeReadAge.count());
-    writer.signedNumber(peer.revisions.config);
-    writer.signedNumber(peer.revisions.zones);
-    writer.signedNumber(peer.revisions.upstreams);
+    if (peer.storeEra != common.storeEra) {
+        writer.relativeNumber(peer.storeEra, common.storeEra);
+    }
+    if (peer.revisions.config.revision.era < peer.storeEra) {
+        writer.relativeNumber(peer.revisions.config.revision.era, peer.storeEra);
+    }
+    writer.relativeNumber(peer.revisions.config.revision.revision, common.config.revision.revision);
+    writer.relativeNumber(peer.revisions.config.version, common.config.version);
+    writer.signedNumber(peer.revisions.zones.revision);
+    writer.signedNumber(peer.revisions.upstreams.revision);
     writer.signedNumber(peer.revisions.groupsTerm);
     writer.signedNumber(peer.revisions.groups);
     writer.number(peer.revisions.zonesDigest);
@@ -65,7 +101,7 @@
     writer.number(static_cast<uint64_t>(std::lround(std::clamp(peer.processorShare, 0.0, MAX_PROCESSOR_SHARE) * PROCESSOR_SHARE_UNITS)));
 }
 
-Result<Peer> readPeer(CompactReader &reader)
+Result<Peer> readPeer(CompactReader &reader, const CommonState &common)
 {
     Peer peer;
     BOOST_LEAF_ASSIGN(peer.name, reader.text());
@@ -75,10 +111,11 @@
     BOOST_LEAF_AUTO(addressHasIp, reader.number(1));
     peer.callerAddress = (addressHasIp == 1 ? peer.ip : std::string()) + addressSuffix;
     BOOST_LEAF_ASSIGN(peer.zone, reader.text());
-    BOOST_LEAF_AUTO(flags, reader.number(SERVING | CONTROLS_MAPS | WATCHES_STORE));
+    BOOST_LEAF_AUTO(flags, reader.number(ALL_FLAGS));
     peer.serving = (flags & SERVING) != 0;
     peer.controlsMaps = (flags & CONTROLS_MAPS) != 0;
     peer.watchesStore = (flags & WATCHES_STORE) != 0;
+    peer.retainsZones = (flags & RETAINS_ZONES) != 0;
     BOOST_LEAF_AUTO(down, reader.number(MAX_ROWS));
     for (uint64_t i = 0; i < down; ++i) {
         BOOST_LEAF_AUTO(service, reader.text());
@@ -92,9 +129,23 @@
     }
     BOOST_LEAF_AUTO(age, reader.signedNumber());
     peer.storeReadAge = boundedAge(age);
-    BOOST_LEAF_ASSIGN(peer.revisions.config, reader.signedNumber());
-    BOOST_LEAF_ASSIGN(peer.revisions.zones, reader.signedNumber());
-    BOOST_LEAF_ASSIGN(peer.revisions.upstreams, reader.signedNumber());
+    peer.storeEra = common.storeEra;
+    if ((flags & OTHER_ERA) != 0) {
+        BOOST_LEAF_ASSIGN(peer.storeEra, reader.relativeNumber(common.storeEra));
+    }
+    peer.revisions.config.revision.era = peer.storeEra;
+    if ((flags & CONFIG_OF_EARLIER_ERA) != 0) {
+        BOOST_LEAF_ASSIGN(peer.revisions.config.revision.era, reader.relativeNumber(peer.storeEra));
+    }
+    if (peer.revisions.config.revision.era < 0 || peer.revisions.config.revision.era > peer.storeEra) {
+        return fail(ResultCode::BadMessage, "a heartbeat with impossible eras");
+    }
+    BOOST_LEAF_ASSIGN(peer.revisions.config.revision.revision, reader.relativeNumber(common.config.revision.revision));
+    BOOST_LEAF_ASSIGN(peer.revisions.config.version, reader.relativeNumber(common.config.version));
+    peer.revisions.zones.era = (flags & ZONES_OF_EARLIER_ERA) != 0 ? eraBefore(peer.storeEra) : peer.storeEra;
+    BOOST_LEAF_ASSIGN(peer.revisions.zones.revision, reader.signedNumber());
+    peer.revisions.upstreams.era = (flags & UPSTREAMS_OF_EARLIER_ERA) != 0 ? eraBefore(peer.storeEra) : peer.storeEra;
+    BOOST_LEAF_ASSIGN(peer.revisions.upstreams.revision, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.groupsTerm, reader.signedNumber());
     BOOST_LEAF_ASSIGN(peer.revisions.groups, reader.signedNumber());
     BOOST_LEAF_AUTO(zonesDigest, reader.number(std::numeric_limits<uint32_t>::max()));
@@ -160,10 +211,14 @@
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
 {
     CompactWriter writer;
-    writePeer(writer, heartbeat.sender);
+    const CommonState common{heartbeat.sender.storeEra, heartbeat.sender.revisions.config};
+    writer.relativeNumber(common.storeEra, 0);
+    writer.relativeNumber(common.config.revision.revision, 0);
+    writer.relativeNumber(common.config.version, 0);
+    writePeer(writer, heartbeat.sender, common);
     writer.number(heartbeat.others.size());
     for (const RelayedPeer &relayed : heartbeat.others) {
-        writePeer(writer, relayed.peer);
+        writePeer(writer, relayed.peer, common);
         writer.signedNumber(std::max<int64_t>(0, relayed.age.count()));
     }
     writer.number(heartbeat.leaving.size());
@@ -187,10 +242,14 @@
     CompactReader reader(bytes.substr(MAGIC.size()));
     BOOST_LEAF_CHECK(reader.readTexts());
     Heartbeat heartbeat;
-    BOOST_LEAF_ASSIGN(heartbeat.sender, readPeer(reader));
+    CommonState common;
+    BOOST_LEAF_ASSIGN(common.storeEra, reader.relativeNumber(0));
+    BOOST_LEAF_ASSIGN(common.config.revision.revision, reader.relativeNumber(0));
+    BOOST_LEAF_ASSIGN(common.config.version, reader.relativeNumber(0));
+    BOOST_LEAF_ASSIGN(heartbeat.sender, readPeer(reader, common));
     BOOST_LEAF_AUTO(others, reader.number(MAX_ROWS));
     for (uint64_t i = 0; i < others; ++i) {
-        BOOST_LEAF_AUTO(peer, readPeer(reader));
+        BOOST_LEAF_AUTO(peer, readPeer(reader, common));
         BOOST_LEAF_AUTO(age, reader.signedNumber());
         heartbeat.others.push_back({std::move(peer), boundedAge(age)});
     }
--- a/src/peers/internal/peercodec.cpp
+++ b/src/peers/internal/peercodec.cpp
@@ -18,13 +18,33 @@
     Json::Value json;
     json["key"] = item.key;
     json["value"] = item.value;
-    json["revision"] = static_cast<Json::Int64>(item.revision);
+    json["revision"] = static_cast<Json::Int64>(item.revision.revision);
     return json;
 }
 
-fleet::StoredItem decodeItem(const Json::Value &json)
+fleet::StoredItem decodeItem(const Json::Value &json, int64_t era)
 {
-    return {framework::stringField(json, "key"), framework::stringField(json, "value"), framework::intField(json, "revision")};
+    return {framework::stringField(json, "key"), framework::stringField(json, "value"), {era, framework::intField(json, "revision")}};
+}
+
+std::set<std::string> decodeZones(const Json::Value &json, const char *field)
+{
+    std::set<std::string> zones;
+    for (const Json::Value &zone : framework::arrayField(json, field)) {
+        if (zone.isString()) {
+            zones.insert(zone.asString());
+        }
+    }
+    return zones;
+}
+
+Json::Value encodeZones(const std::set<std::string> &zones)
+{
+    Json::Value json = Json::arrayValue;
+    for (const std::string &zone : zones) {
+        json.append(zone);
+    }
+    return json;
 }
 } // namespace
 
@@ -32,16 +52,17 @@
 {
     Json::Value json;
     json["config"] = encodeItem(snapshot.config);
-    json["zones"] = Json::arrayValue;
-    for (const std::string &zone : snapshot.zonesOut) {
-        json["zones"].append(zone);
-    }
-    json["zones_revision"] = static_cast<Json::Int64>(snapshot.zonesRevision);
+    json["config_era"] = static_cast<Json::Int64>(snapshot.config.revision.era);
+    json["zones"] = encodeZones(snapshot.zonesOut);
+    json["zones_retained"] = encodeZones(snapshot.zonesRetained);
+    json["zones_revision"] = static_cast<Json::Int64>(snapshot.zonesRevision.revision);
+    json["zones_era"] = static_cast<Json::Int64>(snapshot.zonesRevision.era);
     json["upstreams"] = Json::arrayValue;
     for (const fleet::StoredItem &item : snapshot.upstreams.items) {
         json["upstreams"].append(encodeItem(item));
     }
-    json["upstreams_revision"] = static_cast<Json::Int64>(snapshot.upstreams.revision);
+    json["upstreams_revision"] = static_cast<Json::Int64>(snapshot.upstreams.revision.revision);
+    json["upstreams_era"] = static_cast<Json::Int64>(snapshot.upstreams.revision.era);
     return framework::writeJson(json);
 }
 
@@ -49,17 +70,14 @@
 {
     BOOST_LEAF_AUTO(json, framework::parseJsonObject(bytes));
     FleetSnapshot snapshot;
-    snapshot.config = decodeItem(json["config"]);
-    for (const Json::Value &zone : framework::arrayField(json, "zones")) {
-        if (zone.isString()) {
-            snapshot.zonesOut.insert(zone.asString());
-        }
-    }
-    snapshot.zonesRevision = framework::toInteger(json["zones_revision"]).value_or(-1);
+    snapshot.config = decodeItem(json["config"], framework::intField(json, "config_era"));
+    snapshot.zonesOut = decodeZones(json, "zones");
+    snapshot.zonesRetained = decodeZones(json, "zones_retained");
+    snapshot.zonesRevision = {framework::intField(json, "zones_era"), framework::toInteger(json["zones_revision"]).value_or(-1)};
+    snapshot.upstreams.revision = {framework::intField(json, "upstreams_era"), framework::intField(json, "upstreams_revision")};
     for (const Json::Value &item : framework::arrayField(json, "upstreams")) {
-        snapshot.upstreams.items.push_back(decodeItem(item));
+        snapshot.upstreams.items.push_back(decodeItem(item, snapshot.upstreams.revision.era));
     }
-    snapshot.upstreams.revision = framework::intField(json, "upstreams_revision");
     return snapshot;
 }
 
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -41,14 +41,17 @@
     }
 }
 
-void PeerTable::onHeartbeat(const Heartbeat &heartbeat, Instant now)
+bool PeerTable::onHeartbeat(const Heartbeat &heartbeat, Instant now)
 {
+    const auto sender = members_.find(heartbeat.sender.name);
+    const bool started = sender == members_.end() || sender->second.peer.incarnation < heartbeat.sender.incarnation;
     merge(heartbeat.sender, now);
     for (const RelayedPeer &relayed : heartbeat.others) {
         if (relayed.age < options_.memberExpiry) {
             merge(relayed.peer, now - relayed.age);
         }
     }
+    return started;
 }
 
 void PeerTable::merge(const Peer &peer, Instant heardAt)
--- a/src/peers/peercodec.h
+++ b/src/peers/peercodec.h
@@ -23,9 +23,10 @@
 struct FleetSnapshot
 {
     fleet::StoredItem config;
-    std::set<std::string> zonesOut;
-    int64_t zonesRevision = -1;
+    std::set<std::string> zonesOut; ///< Without zonesRetained.
+    storeera::StoreRevision zonesRevision = fleet::ZonesOutOfService::UNKNOWN;
     fleet::Snapshot upstreams;
+    std::set<std::string> zonesRetained = {}; ///< Out of service although the store has lost that, see fleet::ZonesOutOfService::retain().
 };
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat);
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -53,7 +53,8 @@
 
     /// Adds a member known only by address, from the seeds or the store's registry.
     void addAddress(std::string_view ip, Instant now);
-    void onHeartbeat(const Heartbeat &heartbeat, Instant now);
+    /// Returns true if the sender has just started: its incarnation was not known.
+    bool onHeartbeat(const Heartbeat &heartbeat, Instant now);
 
     /// Creates the heartbeat of one round.
     Heartbeat heartbeat(Instant now);
--- a/src/peers/peertypes.h
+++ b/src/peers/peertypes.h
@@ -21,9 +21,9 @@
 /// Revisions of the fleet state of a gateway. They show which members can supply newer state to a gateway without access to the store.
 struct KnownRevisions
 {
-    int64_t config = 0;
-    int64_t zones = -1;
-    int64_t upstreams = 0;
+    configsync::ConfigRevision config;
+    storeera::StoreRevision zones{0, -1};
+    storeera::StoreRevision upstreams;
     int64_t groupsTerm = 0; ///< Of the list of rank groups, see dispatch::GroupList.
     int64_t groups = 0;
     uint32_t zonesDigest = 0; ///< Of the zones out of service, see configsync::KeyRevisions.
@@ -49,15 +49,17 @@
     std::vector<std::string> groupsDown; ///< Keys of the rank groups that execute no passes, as reported by the map controller.
     std::vector<std::pair<std::string, int>> inFlight; ///< Requests in flight from this gateway to the engines, by group key.
     milliseconds storeReadAge{NEVER_READ}; ///< Age of its last read of the upstreams from the store, at the time of the heartbeat.
+    int64_t storeEra = 0; ///< Newest era of the store that the member knows. Not lower than those of its revisions.
+    bool retainsZones = false; ///< Keeps zones out of service that the store has lost, see fleet::ZonesOutOfService.
     KnownRevisions revisions;
-    int64_t confirmedRevision = 0; ///< See configsync::KeyReport.
+    int64_t confirmedRevision = 0; ///< See configsync::KeyReport. Of storeEra.
     milliseconds confirmedAge{0}; ///< At the time of the heartbeat.
     double processorShare = 1.0; ///< Of a core.
 
     /// What the member tells of the operators' keys.
     configsync::KeyReport keyReport() const
     {
-        return {{revisions.config, revisions.zones, revisions.zonesDigest}, confirmedRevision, confirmedAge};
+        return {{revisions.config, revisions.zones, revisions.zonesDigest}, storeEra, confirmedRevision, confirmedAge};
     }
 
     static constexpr int64_t NEVER_READ = 1'000'000;
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -8,16 +8,30 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <random>
 
 using namespace daisymount::peers;
 using daisymount::crashattribution::CrashUpdate;
+using daisymount::storeera::StoreRevision;
 
 namespace
 {
 constexpr Instant START{std::chrono::seconds{100}};
 
+constexpr int64_t ERA = 3;
+
+/// Of a configuration whose version equals its revision.
+KnownRevisions revisions(int64_t config, int64_t zones, int64_t upstreams)
+{
+    KnownRevisions known;
+    known.config = {{ERA, config}, config};
+    known.zones = {ERA, zones};
+    known.upstreams = {ERA, upstreams};
+    return known;
+}
+
 Peer peer(const std::string &name, int64_t incarnation = 1)
 {
     Peer result;
@@ -26,6 +40,7 @@
     result.ip = "10.0.0." + name;
     result.callerAddress = result.ip + ":80";
     result.serving = true;
+    result.storeEra = ERA;
     return result;
 }
 } // namespace
@@ -240,26 +255,26 @@
 TEST(PeerTable, mostUpToDatePeerIsALivePeerWithNewerState)
 {
     Peer behind = peer("2");
-    behind.revisions = {1, 1, 1};
+    behind.revisions = revisions(1, 1, 1);
     Peer ahead = peer("3");
-    ahead.revisions = {1, 1, 9};
+    ahead.revisions = revisions(1, 1, 9);
     table.onHeartbeat({behind, {}}, START);
     table.onHeartbeat({ahead, {}}, START);
-    STRCMP_EQUAL("3", table.mostUpToDatePeer({1, 1, 1}, START)->name.c_str());
-    CHECK_FALSE(table.mostUpToDatePeer({1, 1, 9}, START).has_value());
-    CHECK_FALSE(table.mostUpToDatePeer({1, 1, 1}, START + std::chrono::seconds{5}).has_value());
+    STRCMP_EQUAL("3", table.mostUpToDatePeer(revisions(1, 1, 1), START)->name.c_str());
+    CHECK_FALSE(table.mostUpToDatePeer(revisions(1, 1, 9), START).has_value());
+    CHECK_FALSE(table.mostUpToDatePeer(revisions(1, 1, 1), START + std::chrono::seconds{5}).has_value());
 }
 
 TEST(PeerTable, peersWithNewerConfigIgnoreTheUpstreamsRevision)
 {
     Peer ahead = peer("2");
-    ahead.revisions = {7, 1, 9};
+    ahead.revisions = revisions(7, 1, 9);
     ahead.revisions.zonesDigest = 3;
     table.onHeartbeat({ahead, {}}, START);
-    LONGS_EQUAL(1, table.peersWithNewerConfig({6, 1, 50}, START).size());
-    STRCMP_EQUAL("2", table.peersWithNewerConfig({7, 0, 50}, START).front().name.c_str());
-    CHECK(table.peersWithNewerConfig({7, 1, 1}, START).empty());
-    CHECK(table.peersWithNewerConfig({6, 1, 1}, START + std::chrono::seconds{5}).empty());
+    LONGS_EQUAL(1, table.peersWithNewerConfig(revisions(6, 1, 50), START).size());
+    STRCMP_EQUAL("2", table.peersWithNewerConfig(revisions(7, 0, 50), START).front().name.c_str());
+    CHECK(table.peersWithNewerConfig(revisions(7, 1, 1), START).empty());
+    CHECK(table.peersWithNewerConfig(revisions(6, 1, 1), START + std::chrono::seconds{5}).empty());
 }
 
 /// Guards against a gateway that takes its own pause for the silence of all others.
@@ -322,7 +337,7 @@
     sender.controlsMaps = true;
     sender.groupsDown = {"s"};
     sender.inFlight = {{"s", 12}};
-    sender.revisions = {3, 4, 5};
+    sender.revisions = revisions(3, 4, 5);
     Heartbeat decoded;
     const auto ret = daisymount::framework::evaluate([&]() -> daisymount::framework::Result<void> {
         BOOST_LEAF_ASSIGN(decoded, decodeHeartbeat(encodeHeartbeat({sender, {{peer("3"), milliseconds{40}}}})));
@@ -333,10 +348,39 @@
     LONGS_EQUAL(77, decoded.sender.incarnation);
     CHECK(decoded.sender.controlsMaps);
     LONGS_EQUAL(12, decoded.sender.inFlight.at(0).second);
-    LONGS_EQUAL(5, decoded.sender.revisions.upstreams);
+    CHECK(decoded.sender.revisions.upstreams == (StoreRevision{ERA, 5}));
     LONGS_EQUAL(40, decoded.others.at(0).age.count());
 }
 
+/// Guards against revisions of an era that are taken for those of another one.
+TEST(PeerCodec, erasAreUnchangedByEncodingAndDecoding)
+{
+    Peer sender = peer("2");
+    sender.storeEra = 9;
+    sender.retainsZones = true;
+    sender.revisions = revisions(40, 50, 60);
+    Peer other = peer("3");
+    other.storeEra = std::numeric_limits<int64_t>::max();
+    other.revisions.config = {{9, 41}, 7};
+    other.revisions.zones = {other.storeEra, 51};
+    other.revisions.upstreams = {other.storeEra, 61};
+    const auto ret = daisymount::framework::evaluate([&]() -> daisymount::framework::Result<void> {
+        BOOST_LEAF_AUTO(received, decodeHeartbeat(encodeHeartbeat({sender, {{other, milliseconds{0}}}})));
+        LONGS_EQUAL(9, received.sender.storeEra);
+        CHECK(received.sender.retainsZones);
+        CHECK(received.sender.revisions.config.revision == (StoreRevision{ERA, 40}));
+        CHECK(received.sender.revisions.zones < (StoreRevision{9, 0}));
+        CHECK(received.sender.revisions.upstreams < (StoreRevision{9, 0}));
+        const Peer &relayed = received.others.at(0).peer;
+        CHECK(relayed.storeEra == other.storeEra);
+        CHECK(relayed.revisions.config == other.revisions.config);
+        CHECK(relayed.revisions.zones == other.revisions.zones);
+        CHECK(relayed.revisions.upstreams == other.revisions.upstreams);
+        return {};
+    });
+    CHECK(static_cast<bool>(ret));
+}
+
 TEST(PeerCodec, heartbeatWithTenMembersIsSmallerThan700Bytes)
 {
     // 42 gateways send three to four heartbeats a second over links between zones, where traffic is billed by the byte.
@@ -347,10 +391,11 @@
         member.callerAddress = member.ip + ":8620";
         member.zone = "a-zone-with-a-name";
         member.inFlight = {{"jefi50b", 140}};
-        member.revisions = {1'000, 900, 20'000};
+        member.revisions = revisions(1'000, 900, 20'000);
         i == 0 ? static_cast<void>(heartbeat.sender = member) : heartbeat.others.push_back({member, milliseconds{240}});
     }
-    CHECK(encodeHeartbeat(heartbeat).size() < 700);
+    const size_t bytes = encodeHeartbeat(heartbeat).size();
+    CHECK_TEXT(bytes < 700, std::to_string(bytes).c_str());
 }
 
 TEST(PeerCodec, demandIsUnchangedByEncodingAndDecodingAndFitsInto200BytesForThreePriorities)
@@ -466,7 +511,7 @@
     sender.groupsDown = {"s"};
     const std::string heartbeat = encodeHeartbeat({sender, {{peer("3"), milliseconds{40}}}});
     const std::string update = encodeCrashUpdate({{{7, {"u1", 8}, milliseconds{9}, milliseconds{1}}}, {{5, milliseconds{1}}}, {{6, milliseconds{2}}}});
-    const std::string snapshot = encodeSnapshot({{"c", "v", 4}, {"zone"}, 5, {{{"u", "v", 6}}, 7}});
+    const std::string snapshot = encodeSnapshot({{"c", "v", {ERA, 4}}, {"zone"}, {ERA, 5}, {{{"u", "v", {ERA, 6}}}, {ERA, 7}}, {"kept"}});
     for (int i = 0; i < 20'000; ++i) {
         std::string bytes = i % 3 == 0 ? heartbeat : i % 3 == 1 ? snapshot : update;
         for (uint64_t k = 0; k <= random() % 4; ++k) {
--- a/src/soak/tests/takeover_tests.cpp
+++ b/src/soak/tests/takeover_tests.cpp
@@ -35,10 +35,10 @@
     {
         std::vector<fleet::StoredItem> items;
         for (int rank = 0; rank < RankGroupOptions{}.ranks; ++rank) {
-            items.push_back({group.id(rank), group.registration(rank, "model", "z"), 1});
+            items.push_back({group.id(rank), group.registration(rank, "model", "z"), {0, 1}});
         }
-        context.view.applyConfig({"c", CONFIG, 1});
-        context.view.applyUpstreams({items, 1}, framework::monotonicNow());
+        context.view.applyConfig({"c", CONFIG, {0, 1}});
+        context.view.applyUpstreams({items, {0, 1}}, framework::monotonicNow());
         context.dispatcher.onFleetChange(context.view, framework::monotonicNow());
     }
 
