gateway: a gateway that starts registers once; new registrations are spread by the size of the fleet

The era became known between the lease and the write of a registration, so that each start registered twice (StoreReturn aGatewayThatStartsRegistersOnce: 6 leases of three gateways before, 3 now). The delay of registrations in a new era grows with the number of members, so that few are back at once.

--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -34,7 +34,8 @@
 constexpr milliseconds PEER_TIMEOUT{400};
 constexpr milliseconds REGISTRATION_TTL{9'000};
 constexpr milliseconds REGISTRATION_RENEWAL_INTERVAL{3'000};
-/// Members spread their new registrations over this time after the store has come back without them.
+/// All members hear of a new era at the same moment. Their new registrations are spread over this time for each of them, up to the maximum.
+constexpr milliseconds REGISTRATION_SPACING{5};
 constexpr milliseconds MAX_REGISTRATION_DELAY{1'000};
 constexpr milliseconds MAX_MEMBER_POLL_INTERVAL{5'000};
 /// The store's largest value is 1 MB. A page of a range is about as large, in base64, and a watch may return several versions of a value.
@@ -224,7 +225,6 @@
         }
         co_return static_cast<bool>(kept) && leaseId_ != 0;
     }
-    const int64_t era = context_.storeEra.current();
     const auto granted = co_await call("lease", platform::grantLeaseCall(REGISTRATION_TTL), CALL_TIMEOUT);
     int64_t lease = 0;
     const framework::Ret ret = framework::evaluate([&]() -> framework::Result<void> {
@@ -244,12 +244,18 @@
         BOOST_LEAF_CHECK(platform::decodeTransaction(written.status, written.body));
         return {};
     });
-    if (done && era == context_.storeEra.current()) {
+    if (done && granted.era == context_.storeEra.current()) {
         leaseId_ = lease;
     }
     co_return static_cast<bool>(done) && leaseId_ != 0;
 }
 
+milliseconds StoreSync::registrationDelay() const
+{
+    const milliseconds range = std::min(MAX_REGISTRATION_DELAY, REGISTRATION_SPACING * context_.peers.possiblyAliveCount(framework::monotonicNow()));
+    return milliseconds{std::uniform_int_distribution<int64_t>(0, range.count())(context_.random)};
+}
+
 asio::awaitable<void> StoreSync::maintainRegistration()
 {
     int failures = 0;
@@ -258,8 +264,7 @@
         registrationWake_.expires_after(failures == 0 ? REGISTRATION_RENEWAL_INTERVAL : std::max(RETRY_DELAY * 4, retryDelay(failures)));
         const auto [woken] = co_await registrationWake_.async_wait(asio::as_tuple(asio::use_awaitable));
         if (woken) {
-            // All gateways hear of a new era at the same moment.
-            co_await transport::sleepFor(milliseconds{std::uniform_int_distribution<int64_t>(0, MAX_REGISTRATION_DELAY.count())(context_.random)});
+            co_await transport::sleepFor(registrationDelay());
         }
     }
 }
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -64,6 +64,8 @@
     transport::asio::awaitable<bool> readUpstreams();
     transport::asio::awaitable<void> maintainRegistration();
     transport::asio::awaitable<bool> renewRegistration();
+    /// Random delay of a registration in a new era.
+    milliseconds registrationDelay() const;
     transport::asio::awaitable<void> discoverMembers();
     transport::asio::awaitable<void> syncUpstreamsFromPeers();
     transport::asio::awaitable<bool> fetchUpstreams(peers::Peer peer);
--- a/src/gateway/tests/storereturn_tests.cpp
+++ b/src/gateway/tests/storereturn_tests.cpp
@@ -391,6 +391,12 @@
     CHECK(fixture->countArrivals([&](const Arrival &arrival) { return arrival.gateway == GATEWAYS - 1 && arrival.sentAt > startedAt; }) > 0);
 }
 
+/// Guards against gateways that register twice, because the first answer of the store tells an era.
+TEST(StoreReturn, aGatewayThatStartsRegistersOnce)
+{
+    LONGS_EQUAL(GATEWAYS, fixture->store.grantedLeases());
+}
+
 /// Guards against gateways that are missing from the registry, because the copy does not have their registrations.
 TEST(StoreReturn, gatewaysRegisterAgainInTime)
 {
--- a/src/gateway/tests/storestandin.h
+++ b/src/gateway/tests/storestandin.h
@@ -112,9 +112,10 @@
         away_ = false;
     }
 
-    int64_t revision() const
+    /// Number of leases that were ever granted.
+    int64_t grantedLeases() const
     {
-        return revision_;
+        return lastLeaseId_;
     }
 
 private:
