gateway: gateways that all start at once don't wait for a peer that serves

Peers answer the first heartbeat at once, so a gateway decides once each member that is known by its address has been heard of, else after 0.2 s.

--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -36,8 +36,8 @@
 /// A gateway goes on watching for this long after others do, since beliefs about the members change as heartbeats are lost.
 constexpr milliseconds WATCH_DUTY_RETENTION{3'000};
 constexpr milliseconds SYNC_INTERVAL{250};
-/// A gateway that starts waits this long for the first peer that serves.
-constexpr milliseconds FIRST_PEER_WAIT{400};
+/// A gateway that starts waits this long for the first peer that serves, unless all peers have just started, too.
+constexpr milliseconds FIRST_PEER_WAIT{200};
 constexpr milliseconds PEER_CHECK_INTERVAL{10};
 constexpr milliseconds PEER_KEYS_TIMEOUT{400};
 constexpr int MAX_PEER_CHECKS = 3;
@@ -336,7 +336,7 @@
         co_await transport::sleepFor(PEER_CHECK_INTERVAL);
         const Instant now = framework::monotonicNow();
         const std::vector<peers::Peer> serving = context_.peers.serving(now);
-        if (!context_.view.hasConfig() || (serving.empty() && now - begin < FIRST_PEER_WAIT)) {
+        if (!context_.view.hasConfig() || (serving.empty() && !context_.peers.hasHeardAll() && now - begin < FIRST_PEER_WAIT)) {
             continue;
         }
         const auto knowsMore = [&](const peers::Peer &peer) {
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -209,6 +209,11 @@
     return reportsDown(self_) || std::ranges::any_of(members_, [&](const auto &entry) { return isAlive(entry.second, now) && reportsDown(entry.second.peer); });
 }
 
+bool PeerTable::hasHeardAll() const
+{
+    return addresses_.empty() && !members_.empty();
+}
+
 void PeerTable::onRegistryRead()
 {
     registryRead_ = true;
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -77,6 +77,8 @@
     bool mustWatchStore(Instant now) const;
     /// True if the map controller, on this gateway or another one, reports that the rank group with @p key executes no passes.
     bool groupDown(std::string_view key, Instant now) const;
+    /// True if each member that is known by its address has been heard of since the start of this gateway, and there is one.
+    bool hasHeardAll() const;
     /// The store's registry of members has been read and all its addresses were added.
     void onRegistryRead();
     /// Number of possibly live members including this gateway. At least assumedMembers until the registry has been read or discoveryTime
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -277,6 +277,29 @@
     CHECK(table.peersWithNewerConfig(revisions(6, 1, 1), START + std::chrono::seconds{5}).empty());
 }
 
+/// Guards against gateways that wait for each other although all of them have just started.
+TEST(PeerTable, allMembersAreHeardOnceEachKnownAddressHasSentAHeartbeat)
+{
+    PeerTable started{peer("1"), {}};
+    CHECK_FALSE(started.hasHeardAll());
+    started.addAddress("10.0.0.2", START);
+    started.addAddress("10.0.0.3", START);
+    Peer starting = peer("2");
+    starting.serving = false;
+    started.onHeartbeat({starting, {}}, START);
+    CHECK_FALSE(started.hasHeardAll());
+    started.onHeartbeat({peer("3"), {}}, START);
+    CHECK(started.hasHeardAll());
+}
+
+TEST(PeerTable, aHeartbeatTellsWhetherItsSenderHasJustStarted)
+{
+    CHECK(table.onHeartbeat({peer("2", 5), {}}, START));
+    CHECK_FALSE(table.onHeartbeat({peer("2", 5), {}}, START + milliseconds{300}));
+    CHECK(table.onHeartbeat({peer("2", 6), {}}, START + milliseconds{600}));
+    CHECK_FALSE(table.onHeartbeat({peer("2", 5), {}}, START + milliseconds{900}));
+}
+
 /// Guards against a gateway that takes its own pause for the silence of all others.
 TEST(PeerTable, ownPausesAreNotSilenceOfOthers)
 {
