fleet: a copy of a former incarnation does not replace the one that is known

Callers would see requests reach an upstream that leaves: an upstream starts again under its id, reports that it leaves, and the store comes back from a copy that has the former incarnation, ready. FleetView remembered one registration for an id, so the former incarnation was taken for a new one.

The last registration is now remembered for each incarnation (id and start). One that has been replaced is held like one that was removed: a copy of it shows nothing until its lease would have ended, and one that has left is never ready again.

copyOfAFormerIncarnationDoesNotMakeALeavingUpstreamReady failed before and passes now.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace daisymount::fleet
 {
@@ -121,14 +122,13 @@
     static constexpr Duration REGISTRATION_LIFETIME = milliseconds{3'600};
 
 private:
-    /// The newest registration of an upstream, kept for some time after it has been removed.
+    /// The newest registration of an incarnation of an upstream, kept for some time after it has been removed.
     struct LastRegistration
     {
-        int64_t bornMs = 0;
         int64_t sequence = 0;
         UpstreamState state = UpstreamState::Ready;
         StoreRevision registeredAt; ///< See KnownUpstream.
-        bool removed = false; ///< The upstream has been dropped since.
+        bool removed = false; ///< The incarnation has been dropped or replaced by another one since.
         Instant seenAt{0};
     };
 
@@ -138,6 +138,7 @@
     /// empty value if a newer one is known or an older copy of the store has brought it back.
     std::optional<StoreRevision> recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now);
     void markRemoved(const KnownUpstream &known);
+    void rememberRemoval(const Upstream &upstream);
 
     FleetDecoder decoder_;
     std::shared_ptr<const FleetConfig> config_; ///< Never null; version 0 before the first configuration.
@@ -147,7 +148,7 @@
     std::map<std::string, KnownUpstream, std::less<>> upstreams_; ///< By id.
     std::map<std::string, StoreRevision, std::less<>> malformedUpstreams_; ///< Revision by id.
     std::map<std::string, StoreRevision, std::less<>> outdatedUpstreams_; ///< Of registrations that change nothing: revision by id.
-    std::map<std::string, LastRegistration, std::less<>> lastRegistrations_; ///< By id.
+    std::map<std::pair<std::string, int64_t>, LastRegistration> lastRegistrations_; ///< By id and bornMs.
     Instant lapsedGraceUntil_{0}; ///< Missing upstreams are kept until this time.
     Instant zonesRetainedUntil_{0};
     Instant copiedUntil_{0}; ///< Registrations that a copy has brought back may not have been removed before this time. 0 if there are none.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -102,6 +102,9 @@
         outdatedUpstreams_.erase(item.key);
         const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
         const bool wasLeaving = known != upstreams_.end() && known->second.upstream.state == UpstreamState::Draining;
+        if (known != upstreams_.end() && known->second.upstream.bornMs != decoded->bornMs) {
+            rememberRemoval(known->second.upstream);
+        }
         const auto applied
             = upstreams_.insert_or_assign(item.key, KnownUpstream{std::move(*decoded), item.revision, *registeredAt, coldUntil, Instant{0}}).first;
         if (applied->second.upstream.state == UpstreamState::Draining && !wasLeaving) {
@@ -123,8 +126,13 @@
     }
     std::erase_if(malformedUpstreams_, [&](const auto &entry) { return !registeredIds.contains(entry.first); });
     std::erase_if(outdatedUpstreams_, [&](const auto &entry) { return !registeredIds.contains(entry.first); });
-    for (auto &[id, last] : lastRegistrations_) {
-        last.seenAt = registeredIds.contains(id) ? now : last.seenAt;
+    for (auto &[incarnation, last] : lastRegistrations_) {
+        const auto &[id, bornMs] = incarnation;
+        const auto known = upstreams_.find(id);
+        const bool isKnown = known != upstreams_.end() && known->second.upstream.bornMs == bornMs;
+        if (registeredIds.contains(id) && (isKnown || outdatedUpstreams_.contains(id))) {
+            last.seenAt = now;
+        }
     }
     std::erase_if(lastRegistrations_, [now](const auto &entry) { return now - entry.second.seenAt > REGISTRATION_MEMORY; });
     removeSuperseded();
@@ -132,8 +140,8 @@
 
 std::optional<StoreRevision> FleetView::recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now)
 {
-    LastRegistration &last = lastRegistrations_[upstream.id];
-    const bool sameIncarnation = last.seenAt != Instant{0} && upstream.bornMs != 0 && upstream.bornMs == last.bornMs;
+    LastRegistration &last = lastRegistrations_[{upstream.id, upstream.bornMs}];
+    const bool sameIncarnation = last.seenAt != Instant{0} && upstream.bornMs != 0;
     const bool comesBack = last.state == UpstreamState::Draining && upstream.state == UpstreamState::Ready;
     const bool sameRegistration = sameIncarnation && upstream.sequence == last.sequence;
     if (sameIncarnation && (upstream.sequence < last.sequence || (sameRegistration && comesBack))) {
@@ -143,17 +151,22 @@
     if (copied && last.removed && now < copiedUntil_) {
         return std::nullopt;
     }
-    last = {upstream.bornMs, upstream.sequence, upstream.state, copied ? last.registeredAt : revision, false, now};
+    last = {upstream.sequence, upstream.state, copied ? last.registeredAt : revision, false, now};
     return last.registeredAt;
 }
 
 void FleetView::markRemoved(const KnownUpstream &known)
 {
-    const auto last = lastRegistrations_.find(known.upstream.id);
+    rememberRemoval(known.upstream);
+    onUpstreamRemoved(known);
+}
+
+void FleetView::rememberRemoval(const Upstream &upstream)
+{
+    const auto last = lastRegistrations_.find({upstream.id, upstream.bornMs});
     if (last != lastRegistrations_.end()) {
         last->second.removed = true;
     }
-    onUpstreamRemoved(known);
 }
 
 void FleetView::removeSuperseded()
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -389,3 +389,20 @@
     CHECK(view.expire(now));
     CHECK_FALSE(view.zoneOut("a"));
 }
+
+// Guards against requests to an upstream that leaves: the store came back from a copy with the registration of its former incarnation, which was ready.
+TEST(FleetView, copyOfAFormerIncarnationDoesNotMakeALeavingUpstreamReady)
+{
+    const auto decode = [](std::string_view id, std::string_view value) {
+        Upstream upstream = *decodeTestUpstream(id, value);
+        upstream.bornMs = upstream.sequence;
+        return std::optional(upstream);
+    };
+    FleetView other{{decodeTestConfig, decode}};
+    other.applyUpstreams({{{"u1", "ready#1", {ERA, 9}}}, {ERA, 10}}, now);
+    other.applyUpstreams({{{"u1", "ready#2", {ERA, 11}}}, {ERA, 11}}, now);
+    other.applyUpstreams({{{"u1", "draining#2", {ERA, 12}}}, {ERA, 12}}, now);
+    other.onNewEra(now, std::chrono::seconds{13});
+    other.applyUpstreams({{{"u1", "ready#1", {ERA + 1, 9}}}, {ERA + 1, 10}}, now);
+    CHECK(other.upstreams().at("u1").upstream.state == UpstreamState::Draining);
+}
