fleet: late news of a former era does not end the retention of zones

Callers would see a zone used that is out of service: the store comes back from a copy without the evacuation, a gateway hears of the new era and keeps the zone out, then a peer that has not heard of it tells the set of the former era. That set contains the zone, so its retention ended, and the first set of the new era, which lacks the zone, was obeyed.

ZonesOutOfService now knows the era: only news of it ends a retention. Zones that are first heard of by such late news are retained as well.

The named test lateSetOfAFormerEraDoesNotEndTheRetention passes now; it needs onNewEra() of the set, which did not exist before. Tests that call FleetView::onNewEra() now pass the era; their checks are unchanged.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -78,9 +78,9 @@
     void applyUpstreams(const Snapshot &snapshot, Instant now);
     /// The store is available again after an outage: lapsed registrations may return within LAPSED_GRACE.
     void onStoreRegained(Instant now);
-    /// The store has come back from an older copy. Zones that are out of service stay out for @p zoneRetention, unless they change before. Registrations that
-    /// the copy does not have may return within LAPSED_GRACE.
-    void onNewEra(Instant now, Duration zoneRetention);
+    /// The store has come back from an older copy, and begun @p era. Zones that are out of service stay out for @p zoneRetention, unless they change before.
+    /// Registrations that the copy does not have may return within LAPSED_GRACE.
+    void onNewEra(int64_t era, Instant now, Duration zoneRetention);
     /// Removes upstreams that did not return within the grace period, and ends the retention of zones.
     /// Returns true if anything changed.
     bool expire(Instant now);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -53,9 +53,10 @@
     zonesRetainedUntil_ = std::max(zonesRetainedUntil_, until);
 }
 
-void FleetView::onNewEra(Instant now, Duration zoneRetention)
+void FleetView::onNewEra(int64_t era, Instant now, Duration zoneRetention)
 {
-    retainZonesOut(std::set<std::string>(zonesOut_.zones()), now + zoneRetention);
+    zonesOut_.onNewEra(era);
+    zonesRetainedUntil_ = std::max(zonesRetainedUntil_, now + zoneRetention);
     lapsedGraceUntil_ = now + LAPSED_GRACE;
     copiedUntil_ = now + REGISTRATION_LIFETIME;
 }
--- a/src/fleet/internal/zonesoutofservice.cpp
+++ b/src/fleet/internal/zonesoutofservice.cpp
@@ -3,6 +3,7 @@
 #include "fleet/zonesoutofservice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace daisymount::fleet
@@ -15,8 +16,12 @@
     }
     setRevision_ = revision;
     set_ = zones;
-    std::erase_if(retained_, [&](const std::string &zone) { return zones.contains(zone); });
     std::erase_if(changes_, [revision](const auto &entry) { return entry.second.revision <= revision; });
+    if (revision.era >= era_) {
+        std::erase_if(retained_, [&](const std::string &zone) { return zones.contains(zone); });
+    } else if (retaining_) {
+        std::ranges::copy_if(zones, std::inserter(retained_, retained_.end()), [this](const std::string &zone) { return !changes_.contains(zone); });
+    }
     return update();
 }
 
@@ -27,7 +32,9 @@
         return false;
     }
     changes_.insert_or_assign(std::string(zone), Change{outOfService, revision});
-    retained_.erase(std::string(zone));
+    if (revision.era >= era_) {
+        retained_.erase(std::string(zone));
+    }
     return update();
 }
 
@@ -37,8 +44,16 @@
     update();
 }
 
+void ZonesOutOfService::onNewEra(int64_t era)
+{
+    era_ = era;
+    retaining_ = true;
+    retain(std::set<std::string>(zones_));
+}
+
 bool ZonesOutOfService::endRetention()
 {
+    retaining_ = false;
     retained_.clear();
     return update();
 }
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -312,7 +312,7 @@
 TEST(FleetView, aListOfANewEraReplacesThoseOfTheLastOne)
 {
     upstreams({ERA, 200}, {{"u", "ready#4", {ERA, 190}}});
-    view.onNewEra(now, milliseconds{5'000});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
     upstreams({ERA + 1, 20}, {{"u", "draining#5", {ERA + 1, 20}}});
     CHECK(UpstreamState::Draining == view.upstreams().at("u").upstream.state);
     upstreams({ERA, 300}, {{"u", "ready#4", {ERA, 190}}});
@@ -324,7 +324,7 @@
 {
     upstreams({ERA, 100}, {{"u", "ready#4", {ERA, 90}}, {"gone", "ready#4", {ERA, 90}}});
     upstreams({ERA, 200}, {{"u", "draining#5", {ERA, 150}}});
-    view.onNewEra(now, milliseconds{5'000});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
     upstreams({ERA + 1, 100}, {{"u", "ready#4", {ERA + 1, 90}}, {"gone", "ready#4", {ERA + 1, 90}}});
     CHECK(UpstreamState::Draining == view.upstreams().at("u").upstream.state);
     CHECK_FALSE(view.upstreams().contains("gone"));
@@ -335,7 +335,7 @@
 {
     upstreams({ERA, 100}, {{"u", "ready#4", {ERA, 90}}});
     upstreams({ERA, 200}, {});
-    view.onNewEra(now, milliseconds{5'000});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
     upstreams({ERA + 1, 100}, {{"u", "ready#4", {ERA + 1, 90}}});
     CHECK(view.upstreams().empty());
     now += FleetView::REGISTRATION_LIFETIME;
@@ -347,7 +347,7 @@
 TEST(FleetView, anUpstreamThatTheCopyDoesNotHaveIsKeptUntilItMayBeBack)
 {
     upstreams({ERA, 200}, {{"u", "ready#4", {ERA, 190}}});
-    view.onNewEra(now, milliseconds{5'000});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
     upstreams({ERA + 1, 20}, {});
     CHECK(view.upstreams().contains("u"));
     now += FleetView::LAPSED_GRACE;
@@ -369,7 +369,7 @@
     shared.applyUpstreams({{{"dead", "ready#4", {ERA, 90}}}, {ERA, 100}}, now);
     shared.applyUpstreams({{{"dead", "ready#4", {ERA, 90}}, {"alive", "ready#1", {ERA, 180}}}, {ERA, 200}}, now);
     CHECK(shared.upstreams().contains("alive"));
-    shared.onNewEra(now, milliseconds{5'000});
+    shared.onNewEra(ERA + 1, now, milliseconds{5'000});
     shared.applyUpstreams({{{"dead", "ready#4", {ERA + 1, 90}}}, {ERA + 1, 100}}, now);
     CHECK(shared.upstreams().contains("alive"));
     CHECK_FALSE(shared.upstreams().contains("dead"));
@@ -378,7 +378,7 @@
 TEST(FleetView, zonesOutOfServiceAreRetainedForALimitedTime)
 {
     view.applyZonesOut({"a"}, {ERA, 100});
-    view.onNewEra(now, milliseconds{5'000});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
     view.applyZonesOut({}, {ERA + 1, 20});
     CHECK(view.zoneOut("a"));
     CHECK(view.storedZonesOut().empty());
@@ -402,7 +402,7 @@
     other.applyUpstreams({{{"u1", "ready#1", {ERA, 9}}}, {ERA, 10}}, now);
     other.applyUpstreams({{{"u1", "ready#2", {ERA, 11}}}, {ERA, 11}}, now);
     other.applyUpstreams({{{"u1", "draining#2", {ERA, 12}}}, {ERA, 12}}, now);
-    other.onNewEra(now, std::chrono::seconds{13});
+    other.onNewEra(ERA + 1, now, std::chrono::seconds{13});
     other.applyUpstreams({{{"u1", "ready#1", {ERA + 1, 9}}}, {ERA + 1, 10}}, now);
     CHECK(other.upstreams().at("u1").upstream.state == UpstreamState::Draining);
 }
--- a/src/fleet/tests/zonesoutofservice_tests.cpp
+++ b/src/fleet/tests/zonesoutofservice_tests.cpp
@@ -177,3 +177,17 @@
     CHECK_FALSE(zones.endRetention());
     CHECK(zones.contains("a"));
 }
+
+// Guards against a zone that is used too early: a peer that has not heard of the new era told the set of the former one.
+TEST(ZonesOutOfService, lateSetOfAFormerEraDoesNotEndTheRetention)
+{
+    zones.applySet({"a"}, {ERA, 100});
+    zones.onNewEra(ERA + 1);
+    zones.applySet({"a", "b"}, {ERA, 101});
+    CHECK(zones.retained() == (std::set<std::string>{"a", "b"}));
+    CHECK_FALSE(zones.applySet({}, {ERA + 1, 20}));
+    CHECK(zones.contains("a"));
+    CHECK(zones.contains("b"));
+    CHECK(zones.endRetention());
+    CHECK(zones.zones().empty());
+}
--- a/src/fleet/zonesoutofservice.h
+++ b/src/fleet/zonesoutofservice.h
@@ -35,6 +35,8 @@
 
     /// Keeps @p zones out of service, whatever sets say, until each of them changes or endRetention() is called.
     void retain(const std::set<std::string> &zones);
+    /// The store has begun @p era. Keeps the zones that are out of service, and those that late news of an earlier era still tells, as retain() does.
+    void onNewEra(int64_t era);
     /// Ends the retention of all zones. Returns true if a zone changed.
     bool endRetention();
     const std::set<std::string> &retained() const;
@@ -55,7 +57,9 @@
 
     std::set<std::string> zones_; ///< stored() and retained_.
     std::set<std::string> set_; ///< The newest complete set.
-    std::set<std::string> retained_; ///< Kept out of service until they change or are in a set.
+    std::set<std::string> retained_; ///< Kept out of service until they change or are in a set, in era_.
+    bool retaining_ = false; ///< From onNewEra() to endRetention().
+    int64_t era_ = 0; ///< The newest that is known.
     StoreRevision setRevision_ = UNKNOWN; ///< Of set_. Never decreases.
     std::map<std::string, Change, std::less<>> changes_; ///< Last change of each zone after setRevision_.
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -194,7 +194,7 @@
     currency.onNewEra(era);
     // Before the first configuration nothing can have been lost.
     if (view.hasConfig()) {
-        view.onNewEra(framework::monotonicNow(), settings.bounds.evacuate);
+        view.onNewEra(era, framework::monotonicNow(), settings.bounds.evacuate);
     }
     for (const std::function<void()> &handler : onNewStoreEra) {
         handler();
