--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -256,4 +256,13 @@
     return newer;
 }
 
+int64_t PeerTable::highestGroupsTerm() const
+{
+    int64_t highest = 0;
+    for (const auto &[name, member] : members_) {
+        highest = std::max(highest, member.peer.revisions.groupsTerm);
+    }
+    return highest;
+}
+
 } // namespace daisymount::peers
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -88,6 +88,8 @@
     std::optional<Peer> mostUpToDatePeer(const KnownRevisions &known, Instant now) const;
     /// Live members with a newer configuration or newer zones out of service than @p known.
     std::vector<Peer> peersWithNewerConfig(const KnownRevisions &known, Instant now) const;
+    /// Highest term of a list of rank groups that a member tells, also one that is silent now; 0 if none does.
+    int64_t highestGroupsTerm() const;
 
 private:
     struct Member
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -93,6 +93,18 @@
     LONGS_EQUAL(1, table.serving(START + milliseconds{1'000}).size());
 }
 
+TEST(PeerTable, highestTermIsThatOfAnyMemberAlsoOfRelayedAndSilentOnes)
+{
+    LONGS_EQUAL(0, table.highestGroupsTerm());
+    Peer teller = peer("2");
+    teller.revisions.groupsTerm = 70;
+    Peer relayed = peer("3");
+    relayed.revisions.groupsTerm = 900;
+    relayed.serving = false;
+    table.onHeartbeat({teller, {{relayed, milliseconds{5'000}}}}, START);
+    LONGS_EQUAL(900, table.highestGroupsTerm());
+}
+
 TEST(PeerTable, newIncarnationSupersedesOlderState)
 {
     Peer leaving = peer("2", 5);
