gateway: a term of the map controller belongs to an era of the store

Callers would see, after the store's return from an older copy: two gateways that control one rank group, as both renew one lease; or a group whose new controller loses its lease because the former one ended it by its id.

Cause: lease ids and revisions are given out again after a return. A holder renewed and ended its lease by an id that may be another gateway's by then, and its fencing number, the revision of its write, was the next holder's as well.

- In a new era no order is sent until a read shows the key with the own name and the own lease, and the store has renewed that lease there; else the term ends.

--- a/src/gateway/internal/controlterm.cpp
+++ b/src/gateway/internal/controlterm.cpp
@@ -9,13 +9,14 @@
 
 using framework::Instant;
 
-void ControlTerm::begin(int64_t leaseId, int64_t fencing, Instant validUntil, Instant now)
+void ControlTerm::begin(const ControlGrant &grant, Instant now)
 {
     active_ = true;
     storeSilent_ = false;
-    leaseId_ = leaseId;
-    fencing_ = fencing;
-    validUntil_ = validUntil;
+    leaseId_ = grant.leaseId;
+    fencing_ = grant.fencing;
+    era_ = grant.era;
+    validUntil_ = grant.validUntil;
     lastCheckAt_ = now;
 }
 
@@ -24,18 +25,27 @@
     active_ = false;
 }
 
-void ControlTerm::onRenewed(Instant validUntil)
+void ControlTerm::onRenewed(int64_t era, Instant validUntil)
 {
+    if (era != era_) {
+        return;
+    }
     storeSilent_ = false;
     validUntil_ = std::max(validUntil_, validUntil);
 }
 
+void ControlTerm::onConfirmed(int64_t era, Instant validUntil)
+{
+    era_ = era;
+    onRenewed(era, validUntil);
+}
+
 void ControlTerm::onRenewalUnanswered()
 {
     storeSilent_ = true;
 }
 
-std::string_view ControlTerm::endReason(Instant now)
+std::string_view ControlTerm::endReason(Instant now, int64_t era)
 {
     const bool suspended = now - lastCheckAt_ > SUSPENSION_THRESHOLD;
     lastCheckAt_ = now;
@@ -45,6 +55,9 @@
     if (suspended && now >= validUntil_) {
         return "the machine was suspended";
     }
+    if (now >= validUntil_ && needsConfirmation(era)) {
+        return "the store did not confirm the lease in its new era";
+    }
     if (now >= validUntil_ && !storeSilent_) {
         return "the lease was not renewed in time";
     }
@@ -54,9 +67,9 @@
     return {};
 }
 
-bool ControlTerm::mayIssueOrders(Instant now) const
+bool ControlTerm::mayIssueOrders(Instant now, int64_t era) const
 {
-    if (!active_) {
+    if (!active_ || needsConfirmation(era)) {
         return false;
     }
     const bool suspended = now - lastCheckAt_ > SUSPENSION_THRESHOLD;
@@ -68,6 +81,11 @@
     return active_;
 }
 
+bool ControlTerm::needsConfirmation(int64_t era) const
+{
+    return active_ && era != era_;
+}
+
 int64_t ControlTerm::leaseId() const
 {
     return leaseId_;
--- a/src/gateway/internal/mapchange.cpp
+++ b/src/gateway/internal/mapchange.cpp
@@ -150,7 +150,7 @@
         group.reportsStale = true;
     }
     if (change.superseded()) {
-        lease_.drop("a rank has seen a higher fencing number");
+        lease_.onFenced();
     }
     group.change.reset();
 }
