expertmap: versions of maps with fencing numbers above 2^43

Callers would see, with a store whose revisions need more than 43 bits: a map version far below or above the others of its term, as the product overflows.

Cause: a version is the fencing number times 2^20. Numbers that leave no room for it now get the next version above the highest one of the ranks.

--- a/src/expertmap/internal/grouptypes.cpp
+++ b/src/expertmap/internal/grouptypes.cpp
@@ -3,7 +3,7 @@
 #include "expertmap/grouptypes.h"
 
 #include <algorithm>
-
+#include <limits>
 #include <numeric>
 
 namespace daisymount::expertmap
@@ -13,11 +13,13 @@
 {
 /// Versions that a controller can choose in one term, in which it changes maps a few times a second at most.
 constexpr int64_t VERSIONS_PER_TERM = int64_t{1} << 20;
+/// Versions of higher fencing numbers do not fit into 63 bits.
+constexpr int64_t MAX_FENCING = std::numeric_limits<int64_t>::max() / VERSIONS_PER_TERM;
 } // namespace
 
 int64_t nextMapVersion(int64_t highestVersion, int64_t fencing)
 {
-    return std::max(highestVersion + 1, fencing * VERSIONS_PER_TERM + 1);
+    return fencing > MAX_FENCING ? highestVersion + 1 : std::max(highestVersion + 1, fencing * VERSIONS_PER_TERM + 1);
 }
 
 int64_t totalSelections(const ExpertCounts &counts)
--- a/src/expertmap/tests/laterelease_tests.cpp
+++ b/src/expertmap/tests/laterelease_tests.cpp
@@ -16,6 +16,14 @@
 
 TEST_GROUP(MapVersions){};
 
+TEST(MapVersions, fencingNumberOf64BitsDoesNotOverflow)
+{
+    constexpr int64_t HIGHEST_REPORTED = 41;
+    constexpr int64_t LARGE = (int64_t{1} << 44) + (int64_t{1} << 30);
+    LONGS_EQUAL(HIGHEST_REPORTED + 1, nextMapVersion(HIGHEST_REPORTED, LARGE));
+    CHECK(nextMapVersion(HIGHEST_REPORTED, (int64_t{1} << 43) - 1) > nextMapVersion(HIGHEST_REPORTED, (int64_t{1} << 43) - 2));
+}
+
 // Guards against a pass on two maps of one version: a prepare of an earlier controller was executed after its successor had read the reports, which
 // did not show its version, and was taken for the successor's own.
 TEST(MapVersions, latePrepareOfAnEarlierControllerIsNotTakenForThatOfItsSuccessor)
