gateway, peers, fleet: findings of the review of the store's return

- A gateway answered its own heartbeats without end, with a whole core, if its address had been that of a member of another name: its own heartbeat is that of no member, and a member at its own address is none.
- A single wrong datagram could raise the era and so end the use of the store everywhere: a heartbeat's era is now verified at the store, or by the page of the peer if the store does not answer; era_refuted tells of a wrong one.
- A gateway that starts asked only the first peer by name, which might just have died: each peer is asked until one that answers knows no more, for 1.5 s at the most.
- The same version of a later era is newer also by heartbeats, so that followers fetch it if its content differs.
- A dead registration of the copy was used again for up to a second, as lists are read before they are applied: 5.2 s instead of 3.6 s.
- A copied registration does not start the cold time again; an upstream with an older registration in the list is not missing; a gateway that stops does not register (read); a failure of the start's check does not keep a gateway from serving (read).

--- a/src/configsync/configcurrency.h
+++ b/src/configsync/configcurrency.h
@@ -6,7 +6,7 @@
 // A gateway is current if nothing newer exists. Evidence is a reply of the store about the keys, its own or that of a peer whose keys are not newer
 // than its own. Each reply has a time, so the age of the evidence is known and bounded: what peers cannot tell in time is asked of the store.
 //
-// Evidence belongs to an era of the store. When the store comes back from an older copy, all evidence of before is void, but not the keys: a configuration
+// A confirmed revision belongs to an era of the store. When the store comes back from an older copy, none of before counts, but the keys stay: a configuration
 // that was accepted is not replaced by the older one of the copy.
 
 #pragma once
@@ -31,7 +31,7 @@
 using framework::milliseconds;
 using storeera::StoreRevision;
 
-/// Identifies a configuration. Revisions order those of an era, versions those of different eras.
+/// Identifies a configuration. Revisions order those of an era; versions, and then the eras, those of different eras.
 struct ConfigRevision
 {
     StoreRevision revision; ///< 0 before the first configuration.
--- a/src/configsync/internal/configcurrency.cpp
+++ b/src/configsync/internal/configcurrency.cpp
@@ -30,7 +30,7 @@
 
 bool isNewer(const ConfigRevision &a, const ConfigRevision &b)
 {
-    return a.revision.era == b.revision.era ? a.revision > b.revision : a.version > b.version;
+    return a.revision.era == b.revision.era ? a.revision > b.revision : std::tie(a.version, a.revision.era) > std::tie(b.version, b.revision.era);
 }
 
 bool isNewer(const KeyRevisions &a, const KeyRevisions &b)
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -118,8 +118,9 @@
 
     /// Running servers renew registrations that lapsed during a store outage within about two seconds.
     static constexpr Duration LAPSED_GRACE = milliseconds{2'200};
-    /// The store removes the registration of an upstream that does not renew it within this time, also one that a copy has brought back.
-    static constexpr Duration REGISTRATION_LIFETIME = milliseconds{3'600};
+    /// The store removes the registration of an upstream that does not renew it for 3.6 s, also one that a copy has brought back. Lists that are applied after
+    /// this time were read after the removal.
+    static constexpr Duration REGISTRATION_LIFETIME = milliseconds{5'200};
 
 private:
     /// The newest registration of an incarnation of an upstream, kept for some time after it has been removed.
@@ -138,6 +139,8 @@
     /// empty value if a newer one is known or an older copy of the store has brought it back.
     std::optional<StoreRevision> recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now);
     void markRemoved(const KnownUpstream &known);
+    /// The list has an entry of the upstream with @p id, although an older one than is known.
+    void keepListed(std::string_view id);
     void rememberRemoval(const Upstream &upstream);
 
     FleetDecoder decoder_;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -78,6 +78,7 @@
         }
         const auto outdated = outdatedUpstreams_.find(item.key);
         if (outdated != outdatedUpstreams_.end() && outdated->second >= item.revision) {
+            keepListed(item.key);
             continue;
         }
         const auto malformed = malformedUpstreams_.find(item.key);
@@ -97,11 +98,14 @@
         const std::optional<StoreRevision> registeredAt = recordRegistration(*decoded, item.revision, now);
         if (!registeredAt) {
             outdatedUpstreams_.insert_or_assign(item.key, item.revision);
+            keepListed(item.key);
             onOutdatedUpstream(item);
             continue;
         }
         outdatedUpstreams_.erase(item.key);
-        const Instant coldUntil = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
+        const bool copied = *registeredAt != item.revision && known != upstreams_.end();
+        const Instant coldFromNow = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
+        const Instant coldUntil = copied ? known->second.coldUntil : coldFromNow;
         const bool wasLeaving = known != upstreams_.end() && known->second.upstream.state == UpstreamState::Draining;
         if (known != upstreams_.end() && known->second.upstream.bornMs != decoded->bornMs) {
             rememberRemoval(known->second.upstream);
@@ -139,6 +143,14 @@
     removeSuperseded();
 }
 
+void FleetView::keepListed(std::string_view id)
+{
+    const auto known = upstreams_.find(id);
+    if (known != upstreams_.end()) {
+        known->second.missingSince = Instant{0};
+    }
+}
+
 std::optional<StoreRevision> FleetView::recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now)
 {
     LastRegistration &last = lastRegistrations_[{upstream.id, upstream.bornMs}];
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -406,3 +406,15 @@
     other.applyUpstreams({{{"u1", "ready#1", {ERA + 1, 9}}}, {ERA + 1, 10}}, now);
     CHECK(other.upstreams().at("u1").upstream.state == UpstreamState::Draining);
 }
+
+/// Guards against an upstream that counts as missing although the list has it, since the copy has an older registration of it.
+TEST(FleetView, anUpstreamWithAnOlderRegistrationInTheCopyIsNotMissing)
+{
+    upstreams({ERA, 200}, {{"u", "ready#5", {ERA, 190}}});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
+    upstreams({ERA + 1, 10}, {});
+    upstreams({ERA + 1, 20}, {{"u", "ready#4", {ERA + 1, 15}}});
+    now += FleetView::LAPSED_GRACE;
+    view.expire(now);
+    CHECK(view.upstreams().contains("u"));
+}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -76,6 +76,7 @@
         = [](const dispatch::GroupList &) {}; ///< Called with a list of rank groups that may be newer than groups.
     std::function<void()> onOwnKeysRead = [] {}; ///< Called when this gateway has read changed operator keys from the store.
     std::function<void()> onNewerKeysKnown = [] {}; ///< Called when a peer tells of newer operator keys.
+    std::function<void(const peers::Peer &)> onNewerEraTold = [](const peers::Peer &) {}; ///< Called when a heartbeat tells of an era later than storeEra.
     std::vector<std::function<void()>> onNewStoreEra; ///< Called in turn after storeEra has risen and view and currency know of it.
     std::function<void()> onCrashRecorded = [] {}; ///< Called when this gateway has found that an upstream crashed.
 
--- a/src/gateway/internal/operatorkeys.cpp
+++ b/src/gateway/internal/operatorkeys.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace daisymount::gateway
 {
@@ -40,7 +41,8 @@
 constexpr milliseconds FIRST_PEER_WAIT{200};
 constexpr milliseconds PEER_CHECK_INTERVAL{10};
 constexpr milliseconds PEER_KEYS_TIMEOUT{400};
-constexpr int MAX_PEER_CHECKS = 3;
+/// After this time a gateway that starts serves by the keys that it has.
+constexpr milliseconds MAX_PEER_CHECK_TIME{1'500};
 
 std::string millisecondsText(Duration duration)
 {
@@ -258,12 +260,41 @@
     while (true) {
         syncWake_.expires_after(SYNC_INTERVAL);
         co_await syncWake_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (eraTeller_ && context_.view.hasConfig()) {
+            co_await verifyEra(*std::exchange(eraTeller_, std::nullopt));
+        }
         const Instant now = framework::monotonicNow();
         reportStaleness(now);
         co_await runSyncStep(context_.currency.next(keySources(now), now));
     }
 }
 
+asio::awaitable<void> StoreSync::verifyEra(peers::Peer peer)
+{
+    bool answered = false;
+    if (context_.currency.confirmedRevision() == 0) {
+        answered = co_await readOperatorKeys();
+    } else {
+        answered = co_await readChanges("check", NO_WAIT);
+    }
+    if (context_.storeEra.current() >= peer.storeEra) {
+        co_return;
+    }
+    if (answered) {
+        refutedEra_ = peer.storeEra;
+        context_.log.report({"store",
+                             "era_refuted",
+                             ResultCode::BadMessage,
+                             "",
+                             {{"told_by", peer.name}, {"told_era", std::to_string(peer.storeEra)}, {"era", std::to_string(context_.storeEra.current())}}});
+        co_return;
+    }
+    const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer.name, peer.ip, peers::KEYS_PAGE, PEER_KEYS_TIMEOUT);
+    if (snapshot) {
+        applyKeysOfPeer(peer.name, *snapshot);
+    }
+}
+
 asio::awaitable<void> StoreSync::runSyncStep(configsync::SyncStep step)
 {
     if (step.action == configsync::SyncAction::FetchFromPeer) {
@@ -331,7 +362,7 @@
 asio::awaitable<void> StoreSync::checkKeysWithPeers()
 {
     const Instant begin = framework::monotonicNow();
-    int checks = 0;
+    std::set<std::string> asked;
     while (context_.awaitsPeerKeys) {
         co_await transport::sleepFor(PEER_CHECK_INTERVAL);
         const Instant now = framework::monotonicNow();
@@ -340,35 +371,36 @@
             continue;
         }
         const auto knowsMore = [&](const peers::Peer &peer) {
-            return peer.retainsZones || peer.storeEra < context_.storeEra.current()
-                || configsync::isNewer(peer.keyReport().revisions, keyRevisions(context_.view));
+            return !asked.contains(peer.name)
+                && (peer.retainsZones || peer.storeEra < context_.storeEra.current()
+                    || configsync::isNewer(peer.keyReport().revisions, keyRevisions(context_.view)));
         };
         const auto source = std::ranges::find_if(serving, knowsMore);
-        bool adopted = source == serving.end();
-        if (!adopted) {
-            adopted = co_await adoptKeys(*source);
+        if (source == serving.end() || now - begin >= MAX_PEER_CHECK_TIME) {
+            context_.awaitsPeerKeys = false;
+        } else {
+            asked.insert(source->name);
+            co_await adoptKeys(*source);
         }
-        context_.awaitsPeerKeys = !adopted && ++checks < MAX_PEER_CHECKS;
     }
     onChange_();
 }
 
-asio::awaitable<bool> StoreSync::adoptKeys(peers::Peer peer)
+asio::awaitable<void> StoreSync::adoptKeys(peers::Peer peer)
 {
     const std::optional<peers::FleetSnapshot> snapshot = co_await fetchPage(peer.name, peer.ip, peers::KEYS_PAGE, PEER_KEYS_TIMEOUT);
     if (!snapshot) {
-        co_return false;
+        co_return;
     }
     applyKeysOfPeer(peer.name, *snapshot);
     std::set<std::string> retained = snapshot->zonesRetained;
-    if (snapshot->zonesRevision.era < context_.storeEra.current()) {
+    if (peer.storeEra < context_.storeEra.current()) {
         // The peer has not heard of the new era yet.
         retained.insert(snapshot->zonesOut.begin(), snapshot->zonesOut.end());
     }
     const std::set<std::string> before = context_.view.zonesOut();
     context_.view.retainZonesOut(retained, framework::monotonicNow() + context_.settings.bounds.evacuate);
     reportZones(before, peer.name, snapshot->zonesRevision);
-    co_return true;
 }
 
 } // namespace daisymount::gateway
--- a/src/gateway/internal/peerlink.cpp
+++ b/src/gateway/internal/peerlink.cpp
@@ -76,11 +76,12 @@
 
 void PeerLink::learnKeys(const peers::Heartbeat &heartbeat, Instant sentAt, Instant now)
 {
-    context_.storeEra.onPeerEra(heartbeat.sender.storeEra, heartbeat.sender.name);
+    if (heartbeat.sender.storeEra > context_.storeEra.current()) {
+        context_.onNewerEraTold(heartbeat.sender);
+    }
     bool newer = context_.currency.onPeerReport(heartbeat.sender.keyReport(), sentAt, now);
     for (const peers::RelayedPeer &relayed : heartbeat.others) {
         if (relayed.peer.name != context_.settings.name) {
-            context_.storeEra.onPeerEra(relayed.peer.storeEra, relayed.peer.name);
             newer = context_.currency.onPeerReport(relayed.peer.keyReport(), sentAt - relayed.age, now) || newer;
         }
     }
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -49,6 +49,12 @@
     : context_(context), onChange_(std::move(onChange)), watchCaller_(context.executor), syncWake_(context.executor), registrationWake_(context.executor)
 {
     context.onNewStoreEra.emplace_back([this] { onNewStoreEra(); });
+    context.onNewerEraTold = [this](const peers::Peer &peer) {
+        if (peer.storeEra != refutedEra_) {
+            eraTeller_ = peer;
+            wakeSync();
+        }
+    };
     const auto pausedWithin = [&context](Instant from, Instant to) { return context.loopPauses.within(from, to); };
     watchCaller_.setPausedWithin(pausedWithin);
 }
@@ -62,7 +68,7 @@
     transport::spawnLoop(context_.executor, "sync_operator_keys", [this] { return syncOperatorKeys(); });
     transport::spawnLoop(context_.executor, "sync_upstreams", [this] { return syncUpstreamsFromPeers(); });
     context_.awaitsPeerKeys = true;
-    transport::spawnTask(context_.executor, "check_keys_with_peers", checkKeysWithPeers());
+    transport::spawnTask(context_.executor, "check_keys_with_peers", checkKeysWithPeers(), [this] { context_.awaitsPeerKeys = false; });
 }
 
 void StoreSync::onNewStoreEra()
@@ -225,6 +231,9 @@
         }
         co_return static_cast<bool>(kept) && leaseId_ != 0;
     }
+    if (context_.draining) {
+        co_return true;
+    }
     const auto granted = co_await call("lease", platform::grantLeaseCall(REGISTRATION_TTL), CALL_TIMEOUT);
     int64_t lease = 0;
     const framework::Ret ret = framework::evaluate([&]() -> framework::Result<void> {
--- a/src/gateway/storesync.h
+++ b/src/gateway/storesync.h
@@ -77,11 +77,14 @@
     transport::asio::awaitable<bool> readRange(std::string prefix, platform::ReadConsistency freshness, platform::StorePage &all);
     /// Compares the first keys with those of peers, which know better if the store has come back from an older copy.
     transport::asio::awaitable<void> checkKeysWithPeers();
-    /// Fetches from @p peer what it has out of service, or newer than this gateway. Returns true if its page was read.
-    transport::asio::awaitable<bool> adoptKeys(peers::Peer peer);
+    /// Fetches from @p peer what it has out of service, or newer than this gateway.
+    transport::asio::awaitable<void> adoptKeys(peers::Peer peer);
     /// Applies the newer ones of the keys of @p peer. Returns true if there were any.
     bool applyKeysOfPeer(std::string_view peer, const peers::FleetSnapshot &snapshot);
     void onNewStoreEra();
+    /// Asks the store, and if it does not answer @p peer, whether there is the era that a heartbeat of @p peer has told. A datagram alone proves no era: if it
+    /// were wrong, all answers of the store would count as outdated.
+    transport::asio::awaitable<void> verifyEra(peers::Peer peer);
     /// Of an answer that has just been received.
     storeera::StoreRevision inCurrentEra(int64_t revision) const;
     /// @p source is the call that returned @p item.
@@ -100,6 +103,8 @@
     bool wasStale_ = false; ///< Last state that reportStaleness() has logged.
     transport::asio::steady_timer registrationWake_; ///< Ends the pause of maintainRegistration().
     int64_t leaseId_ = 0; ///< Granted in the current era; 0 if not registered in it.
+    std::optional<peers::Peer> eraTeller_; ///< Has told of a later era that is not verified yet.
+    int64_t refutedEra_ = 0; ///< Told by peers while the store was in an earlier one.
     StoreOutage outage_;
     Instant upstreamsUpdatedAt_{0}; ///< Last update from the store, or from the gateway that reads it for this zone.
     bool reachable_ = false;
--- a/src/gateway/tests/storereturn_tests.cpp
+++ b/src/gateway/tests/storereturn_tests.cpp
@@ -290,6 +290,7 @@
     const size_t late = fixture->countArrivals([&](const Arrival &arrival) { return arrival.service == "second" && arrival.sentAt > changedAt + APPLY_BOUND; });
     CHECK_EQUAL_TEXT(0U, tookBack, (text(tookBack) + " run as only the version before the lost one allows").c_str());
     CHECK_EQUAL_TEXT(0U, late, (text(late) + " run as only the version before the last one allows").c_str());
+    CHECK_TRUE(fixture->allServeBy("first", seconds{1}));
 }
 
 /// Guards against requests to an upstream that leaves, because its registration has a lower revision than those before the return.
@@ -312,6 +313,7 @@
     fixture->run(DRAIN_BOUND + seconds{1});
     const size_t late = fixture->countArrivals([&](const Arrival &arrival) { return arrival.upstream == "first-east" && arrival.at > leftAt + DRAIN_BOUND; });
     CHECK_EQUAL_TEXT(0U, late, (text(late) + " reached an upstream that had said it leaves").c_str());
+    CHECK_TRUE(fixture->allServeBy("first", seconds{1}));
 }
 
 /// Guards against an upstream that is used again, because the copy is older than its leaving.
@@ -329,6 +331,7 @@
     fixture->run(WRITTEN_AGAIN_AFTER + seconds{2});
     const size_t late = fixture->countArrivals([&](const Arrival &arrival) { return arrival.upstream == "first-east" && arrival.at > leftAt + DRAIN_BOUND; });
     CHECK_EQUAL_TEXT(0U, late, (text(late) + " reached an upstream that had said it leaves").c_str());
+    CHECK_TRUE(fixture->allServeBy("first", seconds{1}));
 }
 
 /// Guards against an evacuation that is not obeyed, because its revision is lower than those before the return.
@@ -349,6 +352,7 @@
     const size_t late
         = fixture->countArrivals([&](const Arrival &arrival) { return arrival.upstream == "first-east" && arrival.at > evacuatedAt + EVACUATION_BOUND; });
     CHECK_EQUAL_TEXT(0U, late, (text(late) + " reached an evacuated zone").c_str());
+    CHECK(fixture->countArrivals([&](const Arrival &arrival) { return arrival.upstream == "first-west" && arrival.at > evacuatedAt + EVACUATION_BOUND; }) > 0);
 }
 
 /// Guards against a zone that is used again, because the copy is older than its evacuation.
@@ -391,6 +395,26 @@
     CHECK(fixture->countArrivals([&](const Arrival &arrival) { return arrival.gateway == GATEWAYS - 1 && arrival.sentAt > startedAt; }) > 0);
 }
 
+/// Guards against a gateway that starts and asks only the first one of its peers, which has just died.
+TEST(StoreReturn, aGatewayThatStartsAsksEachPeerUntilOneAnswers)
+{
+    fixture->store.takeCopy();
+    fixture->changeMuch();
+    changeConfig(2, "second");
+    fixture->store.put("op/evacuate/east", "{}");
+    CHECK_TRUE(fixture->allServeBy("second", APPLY_BOUND));
+    fixture->loseStoreAndComeBackFromCopy();
+    fixture->gateways[GATEWAYS - 1]->kill();
+    fixture->gateways[0]->kill();
+    CHECK_TRUE(fixture->gateways[GATEWAYS - 1]->start());
+    const Instant startedAt = framework::monotonicNow();
+    fixture->run(seconds{3});
+    const auto wrong = [&](const Arrival &arrival) { return arrival.sentAt > startedAt && (arrival.service == "first" || arrival.upstream == "second-east"); };
+    const size_t requests = fixture->countArrivals(wrong);
+    CHECK_EQUAL_TEXT(0U, requests, (text(requests) + " by the copy").c_str());
+    CHECK(fixture->countArrivals([&](const Arrival &arrival) { return arrival.gateway == GATEWAYS - 1 && arrival.sentAt > startedAt; }) > 0);
+}
+
 /// Guards against gateways that register twice, because the first answer of the store tells an era.
 TEST(StoreReturn, aGatewayThatStartsRegistersOnce)
 {
@@ -427,4 +451,5 @@
     fixture->run(APPLY_BOUND + milliseconds{500});
     const size_t late = fixture->countArrivals([&](const Arrival &arrival) { return arrival.service == "second" && arrival.sentAt > changedAt + APPLY_BOUND; });
     CHECK_EQUAL_TEXT(0U, late, (text(late) + " run as only the version before the last one allows").c_str());
+    CHECK_TRUE(fixture->allServeBy("first", seconds{1}));
 }
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -43,8 +43,10 @@
 
 bool PeerTable::onHeartbeat(const Heartbeat &heartbeat, Instant now)
 {
+    // A gateway may hear itself: its address may have been that of another member.
+    const bool isOwn = heartbeat.sender.name.empty() || heartbeat.sender.name == self_.name || heartbeat.sender.ip == self_.ip;
     const auto sender = members_.find(heartbeat.sender.name);
-    const bool started = sender == members_.end() || sender->second.peer.incarnation < heartbeat.sender.incarnation;
+    const bool started = !isOwn && (sender == members_.end() || sender->second.peer.incarnation < heartbeat.sender.incarnation);
     merge(heartbeat.sender, now);
     for (const RelayedPeer &relayed : heartbeat.others) {
         if (relayed.age < options_.memberExpiry) {
@@ -56,7 +58,7 @@
 
 void PeerTable::merge(const Peer &peer, Instant heardAt)
 {
-    if (peer.name.empty() || peer.name == self_.name) {
+    if (peer.name.empty() || peer.name == self_.name || peer.ip == self_.ip) {
         return;
     }
     addresses_.erase(peer.ip);
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -312,6 +312,21 @@
     CHECK_FALSE(table.onHeartbeat({peer("2", 5), {}}, START + milliseconds{900}));
 }
 
+/// Guards against a gateway that answers its own heartbeats without end, because its address has been that of another member.
+TEST(PeerTable, theOwnHeartbeatIsThatOfNoMember)
+{
+    PeerTable renamed{peer("1"), {}};
+    Peer former = peer("former");
+    former.ip = renamed.self().ip;
+    CHECK_FALSE(renamed.onHeartbeat({renamed.self(), {}}, START));
+    CHECK_FALSE(renamed.onHeartbeat({former, {}}, START));
+    CHECK(renamed.onHeartbeat({peer("2"), {{former, milliseconds{100}}}}, START));
+    LONGS_EQUAL(1, renamed.serving(START).size());
+    for (const std::string &target : renamed.targets(START)) {
+        CHECK(target != renamed.self().ip);
+    }
+}
+
 /// Guards against a gateway that takes its own pause for the silence of all others.
 TEST(PeerTable, ownPausesAreNotSilenceOfOthers)
 {
--- a/src/storeera/eratracker.h
+++ b/src/storeera/eratracker.h
@@ -23,7 +23,7 @@
 public:
     /// Evaluates an answer of the store to @p call that tells @p era, 0 if it tells none.
     AnswerEra onAnswer(int64_t era, std::string_view call);
-    /// @p peer knows of @p era.
+    /// @p peer has sent news of @p era.
     void onPeerEra(int64_t era, std::string_view peer);
 
     /// 0 before the first.
