--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -13,6 +13,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -203,6 +206,20 @@
         }
     }
 
+    /// As runUntil, but time in which this process wanted to run and had no processor does not count towards @p limit.
+    void runUntilInOwnTime(const std::function<bool()> &condition, framework::milliseconds limit)
+    {
+        constexpr std::chrono::milliseconds STEP{5};
+        framework::Instant deadline = framework::monotonicNow() + limit;
+        while (!condition() && framework::monotonicNow() < deadline) {
+            const framework::Instant begin = framework::monotonicNow();
+            const std::chrono::nanoseconds usedBefore = processorTime();
+            reactor.run_for(STEP);
+            const auto stalled = std::chrono::duration_cast<framework::Duration>(framework::monotonicNow() - begin - STEP - (processorTime() - usedBefore));
+            deadline += std::max(framework::Duration{0}, stalled);
+        }
+    }
+
     asio::ip::tcp::endpoint endpoint() const
     {
         return acceptor_.local_endpoint();
@@ -212,6 +229,13 @@
     GatewayContext context;
 
 private:
+    static std::chrono::nanoseconds processorTime()
+    {
+        timespec used{};
+        ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+        return std::chrono::seconds{used.tv_sec} + std::chrono::nanoseconds{used.tv_nsec};
+    }
+
     static fleet::NodeSettings settings()
     {
         fleet::NodeSettings settings;
