gateway: convictions are reconciled when the store comes back from a copy

Callers would see a request that crashes upstreams accepted again after all gateways have started anew, since its conviction was not in the copy; or a harmless one rejected after a start, since the copy had a conviction that had been lifted. A conviction could also be taken for stored on the answer of a store that had been replaced between the grant of its lease and the write.

With each new era the designated gateway reads the stored convictions, writes those that are missing with their time and deletes those that it knows to be lifted. load() takes no lifted one back, as before: the later answer is kept beside it. A write whose answer is of another era than its lease counts as unanswered.

The stand-in of these tests now evaluates the condition of a write, and tells an era if it has one.

--- a/src/crashattribution/crashattribution.h
+++ b/src/crashattribution/crashattribution.h
@@ -107,6 +107,8 @@
 
     size_t suspects() const;
     size_t convictions(Instant now) const;
+    /// All convictions that are in force.
+    std::vector<Conviction> convicted(Instant now) const;
 
 private:
     struct Observation
--- a/src/crashattribution/internal/crashattribution.cpp
+++ b/src/crashattribution/internal/crashattribution.cpp
@@ -263,6 +263,17 @@
     return suspects_.size();
 }
 
+std::vector<Conviction> CrashAttribution::convicted(Instant now) const
+{
+    std::vector<Conviction> found;
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        if (status(fingerprint, now) == CrashStatus::Convicted) {
+            found.push_back({fingerprint, elapsed(*suspect.convictedAt, now)});
+        }
+    }
+    return found;
+}
+
 size_t CrashAttribution::convictions(Instant now) const
 {
     return static_cast<size_t>(std::ranges::count_if(suspects_, [&](const auto &entry) { return status(entry.first, now) == CrashStatus::Convicted; }));
--- a/src/gateway/convictionstore.h
+++ b/src/gateway/convictionstore.h
@@ -1,5 +1,6 @@
 // Persists convictions, i.e. fingerprints of requests that crash upstreams, in the platform's store. Gateways share convictions by
-// heartbeat; the stored copy survives a simultaneous restart of all gateways.
+// heartbeat; the stored copy survives a simultaneous restart of all gateways. When the store comes back from an older copy, the gateways' word counts: the
+// designated one writes what is missing and deletes what was lifted.
 
 #pragma once
 
@@ -7,8 +8,10 @@
 #include "gateway/gatewaycontext.h"
 #include "platform/storecodec.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace daisymount::gateway
 {
@@ -26,8 +29,12 @@
     void onConvictionLifted(crashattribution::Fingerprint fingerprint);
 
 private:
+    void onNewStoreEra();
     transport::asio::awaitable<void> load();
-    transport::asio::awaitable<void> persist(crashattribution::Fingerprint fingerprint);
+    transport::asio::awaitable<void> restore();
+    /// Merges the stored convictions. Returns them, or an empty value if the store did not respond.
+    transport::asio::awaitable<std::optional<std::vector<crashattribution::Fingerprint>>> readStored();
+    transport::asio::awaitable<void> persist(crashattribution::Conviction conviction);
     transport::asio::awaitable<void> remove(crashattribution::Fingerprint fingerprint);
     transport::asio::awaitable<StoreReply> call(std::string_view name, platform::HttpCall call);
     bool isDesignatedWriter() const;
--- a/src/gateway/internal/convictionstore.cpp
+++ b/src/gateway/internal/convictionstore.cpp
@@ -61,7 +61,9 @@
 } // namespace
 
 ConvictionStore::ConvictionStore(GatewayContext &context) : context_(context)
-{ }
+{
+    context.onNewStoreEra.emplace_back([this] { onNewStoreEra(); });
+}
 
 void ConvictionStore::start()
 {
@@ -71,7 +73,7 @@
 void ConvictionStore::onConvicted(Fingerprint fingerprint)
 {
     if (isDesignatedWriter()) {
-        transport::spawnTask(context_.executor, "persist_conviction", persist(fingerprint));
+        transport::spawnTask(context_.executor, "persist_conviction", persist({fingerprint, milliseconds{0}}));
     }
 }
 
@@ -80,6 +82,13 @@
     transport::spawnTask(context_.executor, "remove_conviction", remove(fingerprint));
 }
 
+void ConvictionStore::onNewStoreEra()
+{
+    if (isDesignatedWriter()) {
+        transport::spawnTask(context_.executor, "restore_convictions", restore());
+    }
+}
+
 bool ConvictionStore::isDesignatedWriter() const
 {
     const std::vector<peers::Peer> others = context_.peers.serving(framework::monotonicNow());
@@ -91,42 +100,75 @@
     co_return co_await context_.store.call(context_.httpClient, name, std::move(call), CALL_TIMEOUT, MAX_REPLY_BYTES);
 }
 
-asio::awaitable<void> ConvictionStore::load()
+asio::awaitable<std::optional<std::vector<Fingerprint>>> ConvictionStore::readStored()
 {
     // Only the first page is read. More than a page would mean that hundreds of requests were convicted within ten minutes; the
     // remaining ones would soon be convicted again.
-    while (true) {
-        const StoreReply reply = co_await call("range", platform::rangeCall(KEY_PREFIX, "", platform::ReadConsistency::Stale));
-        const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
-            BOOST_LEAF_AUTO(page, platform::decodePage(reply.status, reply.body));
-            crashattribution::CrashUpdate storedUpdate;
-            for (const platform::StoreItem &item : page.items) {
-                if (const std::optional<crashattribution::Conviction> conviction = decode(item)) {
-                    storedUpdate.convictions.push_back(*conviction);
-                } else {
-                    context_.log.report({"crashes", "bad_conviction", ResultCode::BadMessage, "", {{"key", item.key}}});
-                }
-            }
-            for (const Fingerprint fingerprint : context_.crashes.merge(storedUpdate, framework::monotonicNow())) {
-                context_.metrics.onCrashEvent("convicted_elsewhere");
-                context_.log.report({"crashes",
-                                     "convicted_elsewhere",
-                                     ResultCode::Quarantined,
-                                     "",
-                                     {{"fingerprint", crashattribution::toText(fingerprint)}, {"told_by", "store"}}});
+    const StoreReply reply = co_await call("range", platform::rangeCall(KEY_PREFIX, "", platform::ReadConsistency::Stale));
+    std::vector<Fingerprint> stored;
+    const framework::Ret read = framework::evaluate([&]() -> framework::Result<void> {
+        BOOST_LEAF_AUTO(page, platform::decodePage(reply.status, reply.body));
+        crashattribution::CrashUpdate storedUpdate;
+        for (const platform::StoreItem &item : page.items) {
+            if (const std::optional<crashattribution::Conviction> conviction = decode(item)) {
+                storedUpdate.convictions.push_back(*conviction);
+                stored.push_back(conviction->fingerprint);
+            } else {
+                context_.log.report({"crashes", "bad_conviction", ResultCode::BadMessage, "", {{"key", item.key}}});
             }
-            return {};
-        });
-        if (read) {
+        }
+        for (const Fingerprint fingerprint : context_.crashes.merge(storedUpdate, framework::monotonicNow())) {
+            context_.metrics.onCrashEvent("convicted_elsewhere");
+            context_.log.report({"crashes",
+                                 "convicted_elsewhere",
+                                 ResultCode::Quarantined,
+                                 "",
+                                 {{"fingerprint", crashattribution::toText(fingerprint)}, {"told_by", "store"}}});
+        }
+        return {};
+    });
+    co_return read ? std::optional(std::move(stored)) : std::nullopt;
+}
+
+asio::awaitable<void> ConvictionStore::load()
+{
+    while (true) {
+        const std::optional<std::vector<Fingerprint>> stored = co_await readStored();
+        if (stored) {
             co_return;
         }
         co_await transport::sleepFor(RETRY_INTERVAL);
     }
 }
 
-asio::awaitable<void> ConvictionStore::persist(Fingerprint fingerprint)
+asio::awaitable<void> ConvictionStore::restore()
+{
+    const int64_t era = context_.storeEra.current();
+    std::optional<std::vector<Fingerprint>> stored = co_await readStored();
+    while (!stored && context_.storeEra.current() == era) {
+        co_await transport::sleepFor(RETRY_INTERVAL);
+        stored = co_await readStored();
+    }
+    // A later era has a task of its own.
+    if (!stored || context_.storeEra.current() != era) {
+        co_return;
+    }
+    for (const Fingerprint fingerprint : *stored) {
+        if (context_.crashes.status(fingerprint, framework::monotonicNow()) != crashattribution::CrashStatus::Convicted) {
+            transport::spawnTask(context_.executor, "remove_conviction", remove(fingerprint));
+        }
+    }
+    for (const crashattribution::Conviction &conviction : context_.crashes.convicted(framework::monotonicNow())) {
+        if (std::ranges::find(*stored, conviction.fingerprint) == stored->end()) {
+            transport::spawnTask(context_.executor, "persist_conviction", persist(conviction));
+        }
+    }
+}
+
+asio::awaitable<void> ConvictionStore::persist(crashattribution::Conviction conviction)
 {
-    const int64_t convictedAt = unixMillis();
+    const Fingerprint fingerprint = conviction.fingerprint;
+    const int64_t convictedAt = unixMillis() - conviction.age.count();
     framework::Ret result;
     for (int attempt = 0; attempt < MAX_WRITE_ATTEMPTS; ++attempt) {
         const milliseconds refused = context_.crashes.remainingRejection(fingerprint, framework::monotonicNow());
@@ -142,7 +184,11 @@
             return {};
         });
         if (result) {
-            const StoreReply written = co_await call("txn", platform::transactionCall(transaction));
+            StoreReply written = co_await call("txn", platform::transactionCall(transaction));
+            if (written.era != granted.era) {
+                // The lease and the condition belong to a store that has been replaced.
+                written = {};
+            }
             result = framework::evaluate([&]() -> framework::Result<void> {
                 BOOST_LEAF_CHECK(platform::decodeTransaction(written.status, written.body));
                 return {};
--- a/src/gateway/tests/convictionstore_tests.cpp
+++ b/src/gateway/tests/convictionstore_tests.cpp
@@ -22,17 +22,22 @@
 constexpr Fingerprint CRASHING_FINGERPRINT = 0xfedcba9876543210;
 const std::string KEY = "daisymount/convictions/fedcba9876543210";
 
-std::string reply(int status, const std::string &body)
-{
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 /// In-memory store whose leases never expire.
 struct InMemoryStore
 {
     std::map<std::string, std::string> items; ///< Base64 values by key, as received.
     int failuresLeft = 0; ///< Number of calls to fail by closing the connection.
     int64_t ttl = 0; ///< Requested by the last lease grant.
+    int64_t era = 0;
+    int transactions = 0;
+    std::function<void()> beforeTransaction = [] {};
+
+    std::string reply(int status, const std::string &body) const
+    {
+        const std::string eraField = era == 0 ? "" : "Store-Era: " + std::to_string(era) + "\r\n";
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n" + eraField + "Content-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
 
     asio::awaitable<void> serve(transport::ConnectionPtr connection, ReceivedRequest request)
     {
@@ -57,6 +62,14 @@
             ttl = body["ttl_ms"].asInt64();
             co_await send(connection, reply(200, R"({"lease":7,"ttl_ms":600000})"));
         } else {
+            ++transactions;
+            beforeTransaction();
+            for (const Json::Value &condition : body["expected"]) {
+                if (condition["revision"].asInt64() == 0 && items.contains(condition["key"].asString())) {
+                    co_await send(connection, reply(409, R"({"code":"conflict"})"));
+                    co_return;
+                }
+            }
             for (const Json::Value &write : body["writes"]) {
                 items[write["key"].asString()] = write["value"].asString();
             }
@@ -167,3 +180,63 @@
     fixture.world.runUntil([] { return false; }, milliseconds{200});
     LONGS_EQUAL(0, fixture.world.context.crashes.suspects());
 }
+
+// Guards against a crashing request that is accepted again after all gateways have started anew: the store came back from a copy without its conviction.
+TEST(ConvictionStore, convictionIsWrittenAgainWhenTheStoreComesBackWithoutIt)
+{
+    fixture.store.era = 3;
+    fixture.convict();
+    fixture.world.runUntil([&] { return fixture.store.items.contains(KEY); }, seconds{3});
+    fixture.store.items.clear();
+    fixture.store.era = 4;
+    fixture.world.context.storeEra.onPeerEra(4, "gateway3");
+    fixture.world.runUntil([&] { return fixture.store.items.contains(KEY); }, seconds{3});
+    CHECK(fixture.store.items.contains(KEY));
+}
+
+// Guards against a harmless request that is rejected after a start: the store came back from a copy with a conviction that had been lifted.
+TEST(ConvictionStore, liftedConvictionIsRemovedWhenTheStoreComesBackWithIt)
+{
+    fixture.store.era = 3;
+    fixture.convict();
+    fixture.world.runUntil([&] { return fixture.store.items.contains(KEY); }, seconds{3});
+    const std::map<std::string, std::string> copy = fixture.store.items;
+    fixture.world.runUntil([] { return false; }, milliseconds{20});
+    CHECK(fixture.world.context.crashes.onAnswered(CRASHING_FINGERPRINT, framework::monotonicNow()));
+    fixture.convictions->onConvictionLifted(CRASHING_FINGERPRINT);
+    fixture.world.runUntil([&] { return !fixture.store.items.contains(KEY); }, seconds{3});
+    fixture.store.items = copy;
+    fixture.store.era = 4;
+    fixture.world.context.storeEra.onPeerEra(4, "gateway3");
+    fixture.world.runUntil([&] { return !fixture.store.items.contains(KEY); }, seconds{3});
+    CHECK_FALSE(fixture.store.items.contains(KEY));
+    CHECK_FALSE(fixture.isConvicted());
+}
+
+TEST(ConvictionStore, onlyTheDesignatedGatewayWritesAgainInANewEra)
+{
+    peers::Peer first;
+    first.name = "gateway1";
+    first.ip = "127.0.0.9";
+    first.serving = true;
+    fixture.world.context.peers.onHeartbeat({first, {}}, framework::monotonicNow());
+    fixture.convict();
+    fixture.store.era = 4;
+    fixture.world.context.storeEra.onPeerEra(4, "gateway3");
+    fixture.world.runUntil([] { return false; }, milliseconds{300});
+    LONGS_EQUAL(0, fixture.store.transactions);
+}
+
+// Guards against a conviction that is taken for stored: another process of the new era had written the key, or the lease was of the former era.
+TEST(ConvictionStore, answerOfAnotherEraThanTheLeaseCountsAsUnanswered)
+{
+    fixture.store.era = 3;
+    fixture.store.beforeTransaction = [&] {
+        if (fixture.store.transactions == 1) {
+            fixture.store.era = 4;
+        }
+    };
+    fixture.convict();
+    fixture.world.runUntil([&] { return fixture.store.transactions >= 2; }, seconds{3});
+    CHECK(fixture.store.transactions >= 2);
+}
