peers: a gateway whose clock was set back before its start is known again

Peers would not see a gateway for memberExpiry, 20 s: its incarnation is the time of its start, and after its clock was set back, that was older than the one they knew, so that all its heartbeats were ignored.

Incarnations now order news only within aliveTimeout, the time within which news of the former process may still arrive; beyond it the later sign of life counts. Relays of the former incarnation are that much older and don't displace the new one.

--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -1,4 +1,5 @@
-// Merges heartbeats; newer incarnations and later signs of life take precedence.
+// Merges heartbeats; newer incarnations and later signs of life take precedence. The start of a process orders its incarnations only within
+// aliveTimeout, since its clock may have been set back.
 
 #include "peers/peertable.h"
 
@@ -44,8 +45,9 @@
 bool PeerTable::onHeartbeat(const Heartbeat &heartbeat, Instant now)
 {
     const auto sender = members_.find(heartbeat.sender.name);
-    const bool started = sender == members_.end() || sender->second.peer.incarnation < heartbeat.sender.incarnation;
+    const std::optional<int64_t> incarnationBefore = sender == members_.end() ? std::nullopt : std::optional(sender->second.peer.incarnation);
     merge(heartbeat.sender, now);
+    const bool started = !incarnationBefore || sender->second.peer.incarnation != *incarnationBefore;
     for (const RelayedPeer &relayed : heartbeat.others) {
         if (relayed.age < options_.memberExpiry) {
             merge(relayed.peer, now - relayed.age);
@@ -66,8 +68,13 @@
         return;
     }
     Member &member = found->second;
-    const bool newer = peer.incarnation > member.peer.incarnation || (peer.incarnation == member.peer.incarnation && heardAt > member.heardAt);
-    if (newer) {
+    if (peer.incarnation == member.peer.incarnation || heardAt - member.heardAt > options_.aliveTimeout || member.heardAt - heardAt > options_.aliveTimeout) {
+        if (heardAt > member.heardAt) {
+            member = {peer, heardAt};
+        }
+        return;
+    }
+    if (peer.incarnation > member.peer.incarnation) {
         member = {peer, std::max(heardAt, member.heardAt)};
     }
 }
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -532,3 +532,17 @@
         });
     }
 }
+
+// Guards against a gateway that its peers don't see for memberExpiry: its clock was set back before it started again.
+TEST(PeerTable, gatewayWhoseClockWasSetBackBeforeItsStartIsKnownAgain)
+{
+    table.onHeartbeat({peer("2", 1'000), {}}, START);
+    const Instant restarted = START + std::chrono::seconds{3};
+    CHECK_TRUE(table.onHeartbeat({peer("2", 500), {}}, restarted));
+    LONGS_EQUAL(1, table.serving(restarted).size());
+    LONGS_EQUAL(500, table.serving(restarted).front().incarnation);
+    // Others still relay the former incarnation.
+    table.onHeartbeat({peer("3"), {{peer("2", 1'000), milliseconds{3'500}}}}, restarted + milliseconds{500});
+    CHECK_FALSE(table.onHeartbeat({peer("2", 500), {}}, restarted + milliseconds{510}));
+    LONGS_EQUAL(500, table.serving(restarted + milliseconds{510}).front().incarnation);
+}
