soak: returns of the store from an older copy (--store-returns)

A store that comes back from a copy made gateways keep older versions, zones and lists of upstreams; the soak played no such return, so it took the deployment's operators to see it.

Its checks count from the last acknowledgement: versions in force, evacuations, arrivals at leaving upstreams, fencing numbers. An upstream that leaves serves on until the store has known of it for the drain time, and registrations tell their sequence.

--- a/src/soak/internal/plainservice.cpp
+++ b/src/soak/internal/plainservice.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds MIN_LINGER{200};
 constexpr int LINGER_SPREAD_MS = 3'000;
 constexpr milliseconds DOWN_TIME{1'000};
+constexpr milliseconds POLL_INTERVAL{20};
 constexpr milliseconds EXPIRY{2'600};
 /// One in so many upstreams leaves without a word: its registration is removed.
 constexpr int SILENT_LEAVE_INTERVAL = 3;
@@ -56,7 +57,9 @@
 void PlainService::beginIncarnation(Member &member, size_t number)
 {
     ++member.starts;
+    member.leaving = false;
     member.leavingSince = Instant{0};
+    member.registration.sequence = 0;
     member.registration.id = "d-" + std::to_string(random_() % 1'000'000) + "-" + std::to_string(number) + "-" + std::to_string(member.starts);
     member.registration.bornMs = unixMillis();
     member.registration.service = service_;
@@ -89,10 +92,11 @@
     const std::string id = member.registration.id;
     const bool silent = random_() % SILENT_LEAVE_INTERVAL == 0;
     member.registration.state = fleet::UpstreamState::Draining;
+    ++member.registration.sequence;
+    member.leaving = true;
     register_(id, silent ? std::nullopt : std::optional(member.registration));
-    member.leavingSince = framework::monotonicNow();
     onEvent(id + (silent ? " leaves without a word" : " drains"));
-    co_await transport::sleepFor(drainTime + MIN_LINGER + milliseconds{random_() % LINGER_SPREAD_MS});
+    co_await serveOn(member, drainTime + MIN_LINGER + milliseconds{random_() % LINGER_SPREAD_MS});
     const uint16_t port = member.acceptor->local_endpoint().port();
     boost::system::error_code ignored;
     member.acceptor->close(ignored);
@@ -120,6 +124,31 @@
     member.replacing = false;
 }
 
+asio::awaitable<void> PlainService::serveOn(Member &member, Duration duration)
+{
+    while (member.leavingSince == Instant{0} || framework::monotonicNow() < member.leavingSince + duration) {
+        co_await transport::sleepFor(POLL_INTERVAL);
+    }
+}
+
+void PlainService::acknowledged(const std::string &id)
+{
+    for (const auto &member : members_) {
+        if (member->registration.id == id && member->leaving) {
+            member->leavingSince = framework::monotonicNow();
+        }
+    }
+}
+
+void PlainService::lost(const std::string &id)
+{
+    for (const auto &member : members_) {
+        if (member->registration.id == id) {
+            member->leavingSince = Instant{0};
+        }
+    }
+}
+
 const UpstreamRun *PlainService::run(const std::string &requestId) const
 {
     const auto found = runs_.find(requestId);
@@ -160,6 +189,9 @@
         co_return;
     }
     const Instant now = framework::monotonicNow();
+    if (!headers.requestId.empty()) {
+        onArrival(headers.requestId, member.registration.zone);
+    }
     if (member.leavingSince != Instant{0} && !headers.requestId.empty()) {
         latestArrival_ = std::max<Duration>(latestArrival_, now - member.leavingSince);
         if (now - member.leavingSince > drainTime_) {
--- a/src/soak/internal/process.cpp
+++ b/src/soak/internal/process.cpp
@@ -13,6 +13,12 @@
 namespace daisymount::soak
 {
 
+namespace
+{
+/// Fixed by the platform.
+const std::string METRICS_PORT = "9464";
+} // namespace
+
 Process::Process(ProcessOptions options)
     : options_(std::move(options)), settings_(options_.folder / (options_.name + ".toml")), log_(options_.folder / (options_.name + ".log"))
 {
@@ -60,7 +66,7 @@
     posix_spawn_file_actions_destroy(&files);
     id_ = started ? id_ : 0;
     terminatedAt_ = framework::Instant{0};
-    disturbedAt_ = framework::monotonicNow();
+    startedAt_ = disturbedAt_ = framework::monotonicNow();
     return started;
 }
 
@@ -112,6 +118,16 @@
     return options_.ip + ":" + std::to_string(options_.ports.directory);
 }
 
+std::string Process::metricsAddress() const
+{
+    return options_.ip + ":" + METRICS_PORT;
+}
+
+framework::Instant Process::startedAt() const
+{
+    return startedAt_;
+}
+
 std::string Process::callerAddress() const
 {
     return options_.engine.empty() ? options_.ip + ":" + std::to_string(options_.ports.callers) : std::string();
--- a/src/soak/internal/rankgroup.cpp
+++ b/src/soak/internal/rankgroup.cpp
@@ -107,9 +107,8 @@
     const std::string old = id(rank);
     state.draining = true;
     update(old, true);
-    state.leavingSince = framework::monotonicNow();
     onEvent(old + " drains");
-    co_await transport::sleepFor(options_.drainTime + milliseconds{200 + random_() % 2'000});
+    co_await serveOn(state, options_.drainTime + milliseconds{200 + random_() % 2'000});
     const uint16_t port = state.acceptor->local_endpoint().port();
     boost::system::error_code ignored;
     state.acceptor->close(ignored);
@@ -134,6 +133,38 @@
     update(id(rank), true);
 }
 
+RankGroup::Rank *RankGroup::rankWithId(const std::string &id)
+{
+    for (int i = 0; i < options_.ranks; ++i) {
+        if (this->id(i) == id) {
+            return &ranks_[static_cast<size_t>(i)];
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<void> RankGroup::serveOn(Rank &rank, Duration duration)
+{
+    while (rank.leavingSince == Instant{0} || framework::monotonicNow() < rank.leavingSince + duration) {
+        co_await transport::sleepFor(STREAM_POLL_INTERVAL);
+    }
+}
+
+void RankGroup::acknowledged(const std::string &id)
+{
+    Rank *rank = rankWithId(id);
+    if (rank != nullptr && rank->draining) {
+        rank->leavingSince = framework::monotonicNow();
+    }
+}
+
+void RankGroup::lost(const std::string &id)
+{
+    if (Rank *rank = rankWithId(id)) {
+        rank->leavingSince = Instant{0};
+    }
+}
+
 std::string RankGroup::id(int rank) const
 {
     const int starts = ranks_[static_cast<size_t>(rank)].starts;
@@ -167,7 +198,8 @@
 {
     return R"({"service":")" + service + R"(","address":")" + address(rank) + R"(","zone":")" + zone + R"(","version":"v1","slots":)"
         + std::to_string(options_.slots) + R"(,"state":")" + (ranks_[static_cast<size_t>(rank)].draining ? "draining" : "ready")
-        + R"(","cold_remaining_ms":0,"sequence":0,"born":)" + std::to_string(bornMs_ + ranks_[static_cast<size_t>(rank)].starts) + "}";
+        + R"(","cold_remaining_ms":0,"sequence":)" + std::to_string(ranks_[static_cast<size_t>(rank)].draining ? 1 : 0) + R"(,"born":)"
+        + std::to_string(bornMs_ + ranks_[static_cast<size_t>(rank)].starts) + "}";
 }
 
 void RankGroup::shiftDemand()
@@ -386,6 +418,7 @@
             co_await connection->write(answer(rank, *request), WRITE_TIMEOUT);
             continue;
         }
+        onArrival(rank, request->field("X-Request-Id"));
         noteArrival(rank, request->field("X-Request-Id"));
         if (!isOpen() || ranks_[static_cast<size_t>(rank)].running >= options_.slots + options_.queue) {
             co_await connection->write(reply(503, "", "X-Request-Id: " + request->field("X-Request-Id") + "\r\nX-Not-Executed: 1\r\n"), WRITE_TIMEOUT);
@@ -451,6 +484,7 @@
     }
     const Json::Value order = parse(request.body);
     const int status = carryOut(rank, order);
+    onOrder(rank, status == FENCED);
     Json::Value shown = order;
     shown.removeMember("map");
     onEvent("rank " + std::to_string(rank) + " " + framework::writeJson(shown) + " -> " + std::to_string(status));
--- a/src/soak/internal/site.cpp
+++ b/src/soak/internal/site.cpp
@@ -118,6 +118,7 @@
     , random_(options.seed)
     , network_(freeNetwork())
     , store_(reactor.get_executor())
+    , writes_(reactor.get_executor(), store_, options.seed + 2)
     , group_(reactor.get_executor(), options_.group, network_, options.seed)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "daisymount-soak-XXXXXX").string();
@@ -127,6 +128,7 @@
     group_.onLateArrival = [this](const std::string &id, Duration late) {
         breakPromise(id + " reached a rank " + std::to_string(toMs(late)) + " ms after it had told of its leaving");
     };
+    observeStore();
 }
 
 const Totals &Site::totals() const
@@ -164,7 +166,7 @@
 {
     configure();
     for (int rank = 0; rank < options_.group.ranks; ++rank) {
-        store_.put("servers/" + group_.id(rank), group_.registration(rank, "model", zoneOf(rank)));
+        writes_.write(std::string(platform::UPSTREAM_PREFIX) + group_.id(rank), group_.registration(rank, "model", zoneOf(rank)));
     }
     if (options_.profile != nullptr) {
         startPlainService(network_);
@@ -240,6 +242,11 @@
             asio::co_spawn(self->reactor_, self->shiftDemand(), asio::detached);
             asio::co_spawn(self->reactor_, self->operate(self->options_.seed), asio::detached);
             self->startCallers();
+            if (self->options_.storeReturns > 0) {
+                self->writes_.start(self->options_.storeReturns, self->end_);
+                asio::co_spawn(self->reactor_, self->watchVersions(), asio::detached);
+                asio::co_spawn(self->reactor_, self->evacuateZones(self->options_.seed + 3), asio::detached);
+            }
             co_await transport::sleepFor(self->options_.duration + GRACE + DEADLINE);
             self->finished_ = true;
         }(this),
@@ -249,6 +256,7 @@
         reactor_.run_for(std::chrono::milliseconds{50});
     }
     countLoggedCuts();
+    judgeSenders();
     if (group_.mixedPasses() > 0) {
         breakPromise(std::to_string(group_.mixedPasses()) + " passes began on different maps");
     }
@@ -263,7 +271,7 @@
 void Site::configure()
 {
     if (options_.profile == nullptr) {
-        store_.put("op/config", CONFIG);
+        writes_.write(std::string(platform::CONFIG_KEY), CONFIG);
         return;
     }
     fleet::FleetConfig config = options_.profile->config();
@@ -275,7 +283,7 @@
         idle.prefix = "/idle" + std::to_string(i) + "/";
         config.routes.push_back(idle);
     }
-    store_.put(std::string(platform::CONFIG_KEY), platform::standins::encodeConfig(config));
+    writes_.write(std::string(platform::CONFIG_KEY), platform::standins::encodeConfig(config));
 }
 
 void Site::startPlainService(const std::string &network)
@@ -292,9 +300,10 @@
     plain_->onLateArrival = [this](const std::string &id, Duration late) {
         breakPromise(id + " reached a plain upstream " + std::to_string(toMs(late)) + " ms after the store had acknowledged its leaving");
     };
+    plain_->onArrival = [this](const std::string &id, const std::string &zone) { checks_.judgeArrival(id, zone, framework::monotonicNow()); };
     plain_->start([this](const std::string &id, const std::optional<fleet::Upstream> &registration) {
-        const std::string key = std::string(platform::UPSTREAM_PREFIX) + id;
-        registration ? store_.put(key, platform::standins::encodeUpstream(*registration)) : store_.remove(key);
+        writes_.write(std::string(platform::UPSTREAM_PREFIX) + id,
+                      registration ? std::optional(platform::standins::encodeUpstream(*registration)) : std::nullopt);
     });
 }
 
@@ -347,9 +356,9 @@
             break;
         case 2:
             co_await group_.replace(static_cast<int>(random() % static_cast<unsigned>(options_.group.ranks)), [this](const std::string &id, bool registered) {
-                const std::string key = std::string(platform::UPSTREAM_PREFIX) + id;
                 const int rank = group_.rankOf(id);
-                registered ? store_.put(key, group_.registration(rank, options_.profile->engines.name, zoneOf(rank))) : store_.remove(key);
+                writes_.write(std::string(platform::UPSTREAM_PREFIX) + id,
+                              registered ? std::optional(group_.registration(rank, options_.profile->engines.name, zoneOf(rank))) : std::nullopt);
             });
             break;
         default:
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -21,7 +21,7 @@
 
 constexpr const char *USAGE = R"(Runs a site of real processes on loopback under planned restarts and checks what callers were promised.
 
-Usage: daisymountsoak [--seed=N] [--seconds=S] [--gateways=N] [--callers=N] [--profile=NAME] [--load=X] [--programs=FOLDER] [--keep]
+Usage: daisymountsoak [--seed=N] [--seconds=S] [--gateways=N] [--callers=N] [--profile=NAME] [--load=X] [--store-returns=N] [--programs=FOLDER] [--keep]
 
 Options:
   --seed=N      seed of the operator and the callers [default: 1]
@@ -30,6 +30,7 @@
   --callers=N   number of callers, each with one request at a time [default: 90]
   --profile=NAME  callers, engines and gateways of a deployment; without it each of --callers sends one stream after the other
   --load=X      factor of the rates of the profile [default: 1.0]
+  --store-returns=N  times that the store goes away and comes back from an older copy; needs a profile [default: 0]
   --programs=FOLDER  build folder with the programs to run instead of those beside this one
   --keep        keep the record and the logs also if no promise was broken
 )";
@@ -52,6 +53,11 @@
             return EXIT_USAGE;
         }
     }
+    options.storeReturns = static_cast<int>(arguments["--store-returns"].asLong());
+    if (options.storeReturns > 0 && options.profile == nullptr) {
+        std::cerr << "--store-returns needs a profile\n";
+        return EXIT_USAGE;
+    }
     if (arguments["--programs"]) {
         options.gatewayProgram = arguments["--programs"].asString() + "/src/gateway/daisymountgateway";
         options.rankAgentProgram = arguments["--programs"].asString() + "/src/rankagent/daisymountrankagent";
@@ -65,8 +71,9 @@
               << totals.notRead << ", given up " << totals.left << ", cut with an excuse " << totals.excused << " (in logs " << totals.cutLogged
               << "); longest answer after SIGTERM " << toMs(totals.longestAfterSignal) << " ms, of late requests " << toMs(totals.longestOfLate) << " ms ("
               << totals.latePassedOn << " late streams passed on); latest arrival at a leaving upstream " << toMs(site.latestArrival()) << " ms; "
-              << site.group().switches() << " changes of the map, mean pass " << toMs(site.group().meanPass()) << " ms, longest stand "
-              << toMs(site.group().longestStand()) << " ms, longest pause of the soak " << toMs(totals.longestPause) << " ms\n";
+              << site.storeReturns() << " returns of the store (" << site.versionsRead() << " versions read); " << site.group().switches()
+              << " changes of the map, mean pass " << toMs(site.group().meanPass()) << " ms, longest stand " << toMs(site.group().longestStand())
+              << " ms, longest pause of the soak " << toMs(totals.longestPause) << " ms\n";
     for (const std::string &line : broken) {
         std::cout << "  broken: " << line << '\n';
     }
--- a/src/soak/plainservice.h
+++ b/src/soak/plainservice.h
@@ -25,7 +25,7 @@
 class PlainService
 {
 public:
-    /// Writes a registration to the store. Returning is the store's acknowledgement.
+    /// Writes a registration to the store, or removes it. @see acknowledged()
     using Register = std::function<void(const std::string &id, const std::optional<fleet::Upstream> &registration)>;
 
     /// @param ips Addresses of the upstreams, one each.
@@ -37,6 +37,10 @@
     /// little longer, and comes back at the same address as a new one.
     asio::awaitable<void> replace(size_t number, milliseconds drainTime);
     size_t size() const;
+    /// The store has acknowledged the last registration of an upstream, or its removal. The drain time counts from then on.
+    void acknowledged(const std::string &id);
+    /// The store has lost the last registration of an upstream.
+    void lost(const std::string &id);
 
     /// What became of a request; null if none of the upstreams received it.
     const UpstreamRun *run(const std::string &requestId) const;
@@ -44,6 +48,8 @@
     Duration latestArrival() const;
 
     std::function<void(const std::string &)> onEvent = [](const std::string &) {};
+    /// Called with the id and the zone of each request that arrives at an upstream.
+    std::function<void(const std::string &requestId, const std::string &zone)> onArrival = [](const std::string &, const std::string &) {};
     /// Called with a request that arrived later than the drain time at an upstream that leaves.
     std::function<void(const std::string &requestId, Duration late)> onLateArrival = [](const std::string &, Duration) {};
 
@@ -54,13 +60,16 @@
         std::string ip;
         transport::AcceptorPtr acceptor;
         std::vector<std::weak_ptr<transport::Connection>> connections;
-        Instant leavingSince{0}; ///< 0 while the upstream does not leave.
+        bool leaving = false;
+        Instant leavingSince{0}; ///< When the store acknowledged its leaving; 0 while it has not, or has lost it.
         bool replacing = false;
         int running = 0;
         int starts = 0;
     };
 
     void listen(Member &member, uint16_t port);
+    /// Waits until the store has known for @p duration that the upstream leaves.
+    static asio::awaitable<void> serveOn(Member &member, framework::Duration duration);
     void beginIncarnation(Member &member, size_t number);
     asio::awaitable<void> serve(Member &member, transport::ConnectionPtr connection);
     asio::awaitable<void> answer(Member &member, transport::ConnectionPtr connection, gateway::tests::ReceivedRequest request);
--- a/src/soak/process.h
+++ b/src/soak/process.h
@@ -54,6 +54,9 @@
     const std::string &name() const;
     const std::string &ip() const;
     std::string directoryAddress() const;
+    std::string metricsAddress() const;
+    /// When the current process was started.
+    framework::Instant startedAt() const;
     /// Empty for a rank agent.
     std::string callerAddress() const;
     /// When SIGTERM was last sent to the current process; 0 if it was not.
@@ -69,6 +72,7 @@
     std::filesystem::path log_;
     pid_t id_ = 0; ///< 0 while no process runs.
     framework::Instant terminatedAt_{0};
+    framework::Instant startedAt_{0};
     framework::Instant disturbedAt_{0};
     std::string ownEnd_;
 };
--- a/src/soak/rankgroup.h
+++ b/src/soak/rankgroup.h
@@ -53,6 +53,10 @@
     /// Number of the rank with an id of any of its incarnations.
     int rankOf(const std::string &id) const;
     milliseconds drainTime() const;
+    /// The store has acknowledged the last registration of a rank, or its removal. The drain time counts from then on.
+    void acknowledged(const std::string &id);
+    /// The store has lost the last registration of a rank.
+    void lost(const std::string &id);
     std::string address(int rank) const;
     /// True if a rank listens at a port from @p first up to, but not including, @p end.
     bool usesPort(int first, int end) const;
@@ -77,6 +81,9 @@
     Duration longestStand() const;
 
     std::function<void(const std::string &)> onEvent = [](const std::string &) {}; ///< Receives a line for each order and switch.
+    std::function<void(int rank, const std::string &requestId)> onArrival = [](int, const std::string &) {};
+    /// Called after each order that a rank has answered.
+    std::function<void(int rank, bool refusedForFencing)> onOrder = [](int, bool) {};
     /// Called with a request that arrived later than the drain time at a rank that leaves.
     std::function<void(const std::string &requestId, Duration late)> onLateArrival = [](const std::string &, Duration) {};
     /// Length of the answer to a request, in events, where the request itself does not state it exactly.
@@ -104,7 +111,7 @@
         int running = 0;
         int starts = 1;
         bool draining = false;
-        Instant leavingSince{0}; ///< 0 while the rank does not leave.
+        Instant leavingSince{0}; ///< When the store acknowledged its leaving; 0 while it has not, or has lost it.
         std::vector<std::weak_ptr<transport::Connection>> connections;
     };
 
@@ -123,6 +130,10 @@
         bool inPass = false; ///< Gets an event at the end of the present pass.
     };
 
+    /// The rank with the id of its present incarnation; null if there is none.
+    Rank *rankWithId(const std::string &id);
+    /// Waits until the store has known for @p duration that the rank leaves.
+    static asio::awaitable<void> serveOn(Rank &rank, Duration duration);
     asio::awaitable<void> passes();
     void beginPass();
     void listen(int rank, uint16_t port);
--- a/src/soak/site.h
+++ b/src/soak/site.h
@@ -8,6 +8,8 @@
 #include "soak/plainservice.h"
 #include "soak/process.h"
 #include "soak/rankgroup.h"
+#include "soak/storechecks.h"
+#include "soak/storereturns.h"
 
 #include <fstream>
 #include <memory>
@@ -26,6 +28,7 @@
     RankGroupOptions group;
     const TrafficProfile *profile = nullptr; ///< Sets gateways, callers and engines; null for callers that each send one stream after the other.
     double load = 1.0; ///< Factor of the rates of the profile.
+    int storeReturns = 0; ///< Returns of the store from an older copy. Needs a profile.
     std::string gatewayProgram = GATEWAY_PROGRAM;
     std::string rankAgentProgram = RANK_AGENT_PROGRAM;
 };
@@ -56,6 +59,8 @@
     std::vector<std::string> run();
     const Totals &totals() const;
     const RankGroup &group() const;
+    int storeReturns() const;
+    int versionsRead() const;
     /// Latest arrival of a request at an upstream after the store had acknowledged its leaving.
     Duration latestArrival() const;
     /// Folder with the logs of the processes and the record of the run.
@@ -83,6 +88,12 @@
     std::string logLines(const std::string &requestId) const;
     void countLoggedCuts();
     void startCallers();
+    /// Connects the checks of the store's returns with what the store, the upstreams and the ranks see.
+    void observeStore();
+    asio::awaitable<void> watchVersions();
+    asio::awaitable<void> evacuateZones(unsigned seed);
+    /// Judges the orders that the gateways' logs tell.
+    void judgeSenders();
     void startPlainService(const std::string &firstIp);
     void configure();
     asio::awaitable<void> operate(unsigned seed);
@@ -104,6 +115,8 @@
     std::filesystem::path folder_;
     std::ofstream record_;
     gateway::tests::FakeStore store_;
+    StoreReturns writes_;
+    StoreChecks checks_;
     RankGroup group_;
     std::unique_ptr<PlainService> plain_; ///< Null without a profile.
     std::unique_ptr<Callers> callers_; ///< Null without a profile.
@@ -114,6 +127,7 @@
     Instant end_{0}; ///< No request is sent later.
     bool finished_ = false;
     int requests_ = 0;
+    int versionsRead_ = 0; ///< In force on gateways, as their metrics told.
     int restarting_ = 0;
     Totals totals_;
     std::vector<std::string> broken_;
