--- a/src/soak/internal/storereturns.cpp
+++ b/src/soak/internal/storereturns.cpp
@@ -21,6 +21,9 @@
 /// From a return until the writers notice and write again.
 constexpr int MIN_NOTICE_MS = 300;
 constexpr int MAX_NOTICE_MS = 2'000;
+/// Written by others after the copy, so that the revisions after a return stay below the lost ones.
+constexpr int LOST_CHANGES = 400;
+const std::string OTHERS_KEY = "other/key";
 constexpr milliseconds RETRY_INTERVAL{50};
 /// One return in so many is followed by a second one from the same copy.
 constexpr int REPEAT_INTERVAL = 3;
@@ -89,6 +92,9 @@
 
 asio::awaitable<void> StoreReturns::comeBackFromCopy()
 {
+    for (int i = 0; i < LOST_CHANGES; ++i) {
+        store_.put(OTHERS_KEY, std::to_string(i));
+    }
     away_ = true;
     store_.goAway();
     onEvent("the store goes away");
