--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -141,6 +141,8 @@
     void markRemoved(const KnownUpstream &known);
     /// The list has an entry of the upstream with @p id, although an older one than is known.
     void keepListed(std::string_view id);
+    /// True if @p known, which the list at @p listRevision does not have, may be running and return: its registration lapsed, or the store has lost it.
+    bool mayHaveLapsed(const KnownUpstream &known, StoreRevision listRevision, Instant now) const;
     void rememberRemoval(const Upstream &upstream);
 
     FleetDecoder decoder_;
@@ -153,6 +155,7 @@
     std::map<std::string, StoreRevision, std::less<>> outdatedUpstreams_; ///< Of registrations that change nothing: revision by id.
     std::map<std::pair<std::string, int64_t>, LastRegistration> lastRegistrations_; ///< By id and bornMs.
     Instant lapsedGraceUntil_{0}; ///< Missing upstreams are kept until this time.
+    bool onlyLostLapse_ = false; ///< The grace period is that of a new era: upstreams that were listed in it have been removed for good.
     Instant zonesRetainedUntil_{0};
     Instant copiedUntil_{0}; ///< Registrations that a copy has brought back may not have been removed before this time. 0 if there are none.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< Longest prefix first.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -58,6 +58,7 @@
     zonesOut_.onNewEra(era);
     zonesRetainedUntil_ = std::max(zonesRetainedUntil_, now + zoneRetention);
     lapsedGraceUntil_ = now + LAPSED_GRACE;
+    onlyLostLapse_ = true;
     copiedUntil_ = now + REGISTRATION_LIFETIME;
 }
 
@@ -119,7 +120,7 @@
     for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
         if (registeredIds.contains(entry->first) || entry->second.revision > snapshot.revision) {
             ++entry;
-        } else if (now < lapsedGraceUntil_ && entry->second.upstream.state == UpstreamState::Ready) {
+        } else if (mayHaveLapsed(entry->second, snapshot.revision, now)) {
             if (entry->second.missingSince == Instant{0}) {
                 entry->second.missingSince = now;
             }
@@ -143,6 +144,12 @@
     removeSuperseded();
 }
 
+bool FleetView::mayHaveLapsed(const KnownUpstream &known, StoreRevision listRevision, Instant now) const
+{
+    const bool mayBeLost = !onlyLostLapse_ || known.revision.era < listRevision.era;
+    return now < lapsedGraceUntil_ && known.upstream.state == UpstreamState::Ready && mayBeLost;
+}
+
 void FleetView::keepListed(std::string_view id)
 {
     const auto known = upstreams_.find(id);
@@ -195,6 +202,7 @@
 
 void FleetView::onStoreRegained(Instant now)
 {
+    onlyLostLapse_ = false;
     lapsedGraceUntil_ = now + LAPSED_GRACE;
 }
 
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -418,3 +418,14 @@
     view.expire(now);
     CHECK(view.upstreams().contains("u"));
 }
+
+/// Guards against requests to an upstream that is removed just after the return of the store, as if it had been lost with it.
+TEST(FleetView, anUpstreamThatTheNewEraHasListedIsGoneOnceItIsRemoved)
+{
+    upstreams({ERA, 200}, {{"u", "ready#4", {ERA, 190}}, {"lost", "ready#4", {ERA, 195}}});
+    view.onNewEra(ERA + 1, now, milliseconds{5'000});
+    upstreams({ERA + 1, 20}, {{"u", "ready#4", {ERA + 1, 15}}});
+    upstreams({ERA + 1, 21}, {});
+    CHECK_FALSE(view.upstreams().contains("u"));
+    CHECK(view.upstreams().contains("lost"));
+}
--- a/src/peers/internal/peertable.cpp
+++ b/src/peers/internal/peertable.cpp
@@ -44,8 +44,6 @@
 
 bool PeerTable::onHeartbeat(const Heartbeat &heartbeat, Instant now)
 {
-    // A gateway may hear itself: its address may have been that of another member.
-    const bool isOwn = heartbeat.sender.name.empty() || heartbeat.sender.name == self_.name || heartbeat.sender.ip == self_.ip;
     const auto sender = members_.find(heartbeat.sender.name);
     const std::optional<int64_t> incarnationBefore = sender == members_.end() ? std::nullopt : std::optional(sender->second.peer.incarnation);
     merge(heartbeat.sender, now);
@@ -55,12 +53,17 @@
             merge(relayed.peer, now - relayed.age);
         }
     }
-    return !isOwn && isNewIncarnation;
+    return isOther(heartbeat.sender) && isNewIncarnation;
+}
+
+bool PeerTable::isOther(const Peer &peer) const
+{
+    return !peer.name.empty() && peer.name != self_.name && (peer.ip.empty() || peer.ip != self_.ip);
 }
 
 void PeerTable::merge(const Peer &peer, Instant heardAt)
 {
-    if (peer.name.empty() || peer.name == self_.name || peer.ip == self_.ip) {
+    if (!isOther(peer)) {
         return;
     }
     addresses_.erase(peer.ip);
--- a/src/peers/peertable.h
+++ b/src/peers/peertable.h
@@ -101,6 +101,8 @@
     };
 
     void merge(const Peer &peer, Instant heardAt);
+    /// False for this gateway and for a member that had its address before.
+    bool isOther(const Peer &peer) const;
     /// Time for which nothing was heard of the member although this gateway listened.
     Duration silence(const Member &member, Instant now) const;
     bool isAlive(const Member &member, Instant now) const;
