gateway: a starting gateway sends a heartbeat to the members of the registry at once

Tests: a constant of the fixture has the linter's case; the leaving of an upstream is told once, also while another one has its address (seen in the soak as a line with each list).

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -138,6 +138,7 @@
     /// Remembers @p upstream, read at @p revision, as the newest registration of its incarnation. Returns the revision at which that was first seen, or an
     /// empty value if a newer one is known or an older copy of the store has brought it back.
     std::optional<StoreRevision> recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now);
+    bool isKnownToLeave(const Upstream &upstream) const;
     void markRemoved(const KnownUpstream &known);
     /// The list has an entry of the upstream with @p id, although an older one than is known.
     void keepListed(std::string_view id);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -96,6 +96,7 @@
             continue;
         }
         malformedUpstreams_.erase(item.key);
+        const bool wasLeaving = isKnownToLeave(*decoded);
         const std::optional<StoreRevision> registeredAt = recordRegistration(*decoded, item.revision, now);
         if (!registeredAt) {
             outdatedUpstreams_.insert_or_assign(item.key, item.revision);
@@ -107,7 +108,6 @@
         const bool copied = *registeredAt != item.revision && known != upstreams_.end();
         const Instant coldFromNow = decoded->coldRemaining.count() > 0 ? now + decoded->coldRemaining : Instant{0};
         const Instant coldUntil = copied ? known->second.coldUntil : coldFromNow;
-        const bool wasLeaving = known != upstreams_.end() && known->second.upstream.state == UpstreamState::Draining;
         if (known != upstreams_.end() && known->second.upstream.bornMs != decoded->bornMs) {
             rememberRemoval(known->second.upstream);
         }
@@ -158,6 +158,12 @@
     }
 }
 
+bool FleetView::isKnownToLeave(const Upstream &upstream) const
+{
+    const auto last = lastRegistrations_.find({upstream.id, upstream.bornMs});
+    return last != lastRegistrations_.end() && last->second.state == UpstreamState::Draining;
+}
+
 std::optional<StoreRevision> FleetView::recordRegistration(const Upstream &upstream, StoreRevision revision, Instant now)
 {
     LastRegistration &last = lastRegistrations_[{upstream.id, upstream.bornMs}];
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -429,3 +429,20 @@
     CHECK_FALSE(view.upstreams().contains("u"));
     CHECK(view.upstreams().contains("lost"));
 }
+
+/// Guards against a line of the log for each list, while the registration of another upstream at the same address is newer.
+TEST(FleetView, theLeavingOfAnUpstreamIsToldOnce)
+{
+    int told = 0;
+    const FleetDecoder decoder{decodeTestConfig, [](std::string_view id, std::string_view value) {
+                                   std::optional<Upstream> upstream = decodeTestUpstream(id, value);
+                                   upstream->address = "10.0.0.9:80";
+                                   return upstream;
+                               }};
+    FleetView shared{decoder};
+    shared.onUpstreamLeaving = [&](const KnownUpstream &) { ++told; };
+    for (int64_t revision = 100; revision < 105; ++revision) {
+        shared.applyUpstreams({{{"leaving", "draining#2", {ERA, 90}}, {"next", "ready#1", {ERA, 95}}}, {ERA, revision}}, now);
+    }
+    LONGS_EQUAL(1, told);
+}
--- a/src/gateway/internal/storesync.cpp
+++ b/src/gateway/internal/storesync.cpp
@@ -304,6 +304,10 @@
                 }
             }
             context_.peers.onRegistryRead();
+            if (context_.awaitsPeerKeys) {
+                // The members that have just become known answer at once.
+                context_.onOwnKeysRead();
+            }
             context_.dispatcher.setEntries(context_.peers.possiblyAliveCount(now));
         }
         co_await transport::sleepFor(delay);
--- a/src/gateway/tests/gatewayfixture.h
+++ b/src/gateway/tests/gatewayfixture.h
@@ -209,13 +209,13 @@
     /// As runUntil, but time in which this process wanted to run and had no processor does not count towards @p limit.
     void runUntilInOwnTime(const std::function<bool()> &condition, framework::milliseconds limit)
     {
-        constexpr std::chrono::milliseconds STEP{5};
+        constexpr std::chrono::milliseconds step{5};
         framework::Instant deadline = framework::monotonicNow() + limit;
         while (!condition() && framework::monotonicNow() < deadline) {
             const framework::Instant begin = framework::monotonicNow();
             const std::chrono::nanoseconds usedBefore = processorTime();
-            reactor.run_for(STEP);
-            const auto stalled = std::chrono::duration_cast<framework::Duration>(framework::monotonicNow() - begin - STEP - (processorTime() - usedBefore));
+            reactor.run_for(step);
+            const auto stalled = std::chrono::duration_cast<framework::Duration>(framework::monotonicNow() - begin - step - (processorTime() - usedBefore));
             deadline += std::max(framework::Duration{0}, stalled);
         }
     }
