--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -11,7 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -39,8 +39,6 @@
 #include <utility>
 #include <vector>
 
-extern char **environ;
-
 namespace review
 {
 
@@ -50,11 +48,11 @@
 constexpr int BROKEN = 1;
 constexpr int CANNOT_RUN = 2;
 
-/// Ends the program with CANNOT_RUN. The gateways end with it, see Gateway.
+/// Ends the program with CANNOT_RUN. A gateway ends with it, see Gateway::start().
 [[noreturn]] inline void cannotRun(const std::string &why)
 {
     std::fprintf(stderr, "cannot run: %s\n", why.c_str());
-    std::exit(CANNOT_RUN);
+    std::_Exit(CANNOT_RUN);
 }
 
 /// Lines with the time since the start of the program, in record.txt and on standard output.
@@ -659,24 +657,22 @@
 
     void start()
     {
-        const std::string variable = "DAISYMOUNT_CONFIG=" + settings();
-        std::vector<char *> environment;
-        for (char **entry = environ; *entry != nullptr; ++entry) {
-            environment.push_back(*entry);
-        }
-        environment.push_back(const_cast<char *>(variable.c_str()));
-        environment.push_back(nullptr);
-        std::string program = "target/src/gateway/daisymountgateway";
+        const std::string program = "target/src/gateway/daisymountgateway";
         const std::string log = folder_ + "/" + name_ + ".log";
-        posix_spawn_file_actions_t files;
-        posix_spawn_file_actions_init(&files);
-        posix_spawn_file_actions_addopen(&files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        char *arguments[] = {program.data(), nullptr};
-        if (posix_spawn(&id_, program.c_str(), &files, nullptr, arguments, environment.data()) != 0) {
+        const std::string config = settings();
+        id_ = ::fork();
+        if (id_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            ::dup2(output, STDOUT_FILENO);
+            ::dup2(output, STDERR_FILENO);
+            ::setenv("DAISYMOUNT_CONFIG", config.c_str(), 1);
+            ::execl(program.c_str(), program.c_str(), static_cast<char *>(nullptr));
+            ::_exit(CANNOT_RUN);
+        }
+        if (id_ < 0) {
             cannotRun("cannot start " + program);
         }
-        posix_spawn_file_actions_destroy(&files);
     }
     /// Waits until the ready page answers 200.
     void awaitReady()
@@ -723,6 +719,11 @@
     {
         return ip_;
     }
+    /// 0 while no process runs.
+    pid_t id() const
+    {
+        return id_;
+    }
 
 private:
     std::string settings() const
@@ -737,7 +738,6 @@
     std::string end_;
 };
 
-/// Removed at the end of the program.
 class TemporaryFolder
 {
 public:
@@ -749,7 +749,7 @@
         }
         path_ = pattern;
     }
-    ~TemporaryFolder()
+    void remove()
     {
         std::error_code ignored;
         std::filesystem::remove_all(path_, ignored);
@@ -798,6 +798,15 @@
     }).detach();
 }
 
+/// Ends the program and what it started. The stand-ins' threads still run, so nothing is destroyed.
+[[noreturn]] inline void finish(Gateway &gateway, TemporaryFolder &folder, int code)
+{
+    gateway.kill();
+    folder.remove();
+    std::fflush(stdout);
+    std::_Exit(code);
+}
+
 /// True unless the caller of the program has set TROUBLE=0.
 inline bool withTrouble()
 {
--- a/review/standins-3/slowreader.cpp
+++ b/review/standins-3/slowreader.cpp
@@ -29,7 +29,7 @@
 {
     Record record(argc > 1 ? argv[1] : "record.txt");
     const bool trouble = withTrouble();
-    const TemporaryFolder folder;
+    TemporaryFolder folder;
     const std::string ip = freeIp();
     const std::string body = bodyOf();
     Store store(ip, 8223);
@@ -119,10 +119,9 @@
         whole += looksComplete && isWhole ? 1 : 0;
     }
     record.line(std::to_string(broken) + " answers were short and looked complete, " + std::to_string(whole) + " were whole, of " + std::to_string(REQUESTS));
-    gateway.kill();
     if (broken == 0 && whole < REQUESTS) {
         record.line("no verdict: an answer failed");
-        return CANNOT_RUN;
+        finish(gateway, folder, CANNOT_RUN);
     }
-    return broken > 0 ? BROKEN : 0;
+    finish(gateway, folder, broken > 0 ? BROKEN : 0);
 }
