--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -316,7 +316,8 @@
     cannotRun("no free ports");
 }
 
-inline Stream connectTo(const std::string &ip, int port, const std::function<void(int)> &configure = [](int) {})
+inline Stream connectTo(
+    const std::string &ip, int port, const std::function<void(int)> &configure = [](int) {})
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     configure(socket);
--- a/review/standins-3/slowcrowd.cpp
+++ b/review/standins-3/slowcrowd.cpp
@@ -59,11 +59,12 @@
     TemporaryFolder folder;
     const std::string ip = freeIp();
     Store store(ip, 8223);
-    store.put("op/config",
-              R"({"version":3,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"safe","service":"s","timeout_ms":30000,)"
-              R"("target_latency_ms":300,"priority":2,"max_attempts":1},{"name":"w","host":"h.example","prefix":"/w/","kind":"unsafe","service":"s",)"
-              R"("timeout_ms":3000,"target_latency_ms":300,"priority":2,"max_attempts":1}],"services":[{"name":"s","health_path":"/healthz","max_connections":408}],)"
-              R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000}})");
+    store.put(
+        "op/config",
+        R"({"version":3,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"safe","service":"s","timeout_ms":30000,)"
+        R"("target_latency_ms":300,"priority":2,"max_attempts":1},{"name":"w","host":"h.example","prefix":"/w/","kind":"unsafe","service":"s",)"
+        R"("timeout_ms":3000,"target_latency_ms":300,"priority":2,"max_attempts":1}],"services":[{"name":"s","health_path":"/healthz","max_connections":408}],)"
+        R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000}})");
     const std::string body(ANSWER_BYTES, 'x');
     std::vector<std::string> runners;
     for (int i = 0; i < RUNNERS; ++i) {
@@ -155,7 +156,8 @@
         for (int i = 0; !finished && Clock::now() < end; ++i) {
             char id[32];
             std::snprintf(id, sizeof(id), "7c41d07b%02x%06x", number, i);
-            stream.write("POST /w/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + std::string(id) + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{}");
+            stream.write("POST /w/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + std::string(id)
+                         + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{}");
             if (!stream.readMessage(after(5'000))) {
                 const std::lock_guard lock(mutex);
                 if (stream.buffer().empty() && runAt.count(id) > 0) {
@@ -177,7 +179,8 @@
         most = std::max(most, resident);
         if (resident > MEMORY_LIMIT_MB) {
             exceeded = true;
-            record.line("the gateway uses " + std::to_string(resident) + " MB of " + std::to_string(MEMORY_LIMIT_MB) + " MB and is ended, as the platform does");
+            record.line("the gateway uses " + std::to_string(resident) + " MB of " + std::to_string(MEMORY_LIMIT_MB)
+                        + " MB and is ended, as the platform does");
             gateway.kill();
         }
     }
--- a/review/standins-3/slowreader.cpp
+++ b/review/standins-3/slowreader.cpp
@@ -6,11 +6,11 @@
 
 namespace
 {
-constexpr size_t BODY_BYTES = 512U << 10U;
+constexpr size_t BODY_BYTES = 1U << 20U;
 constexpr size_t PIECE_BYTES = 64U << 10U;
 constexpr int PIECE_PAUSE_MS = 5;
-constexpr int REQUESTS = 4;
-/// Of the slow client, whose receive buffer is small: some 100 KiB a second, without a longer pause.
+constexpr int REQUESTS = 3;
+/// Of the slow client, whose receive buffer is small: some 70 KiB a second, without a longer pause.
 constexpr size_t SLOW_READ_BYTES = 16U << 10U;
 constexpr int SLOW_READ_PAUSE_MS = 60;
 
--- a/review/standins-3/slowstream.cpp
+++ b/review/standins-3/slowstream.cpp
@@ -137,7 +137,7 @@
         lost += cut ? 1 : 0;
         complete += own.complete && own.events == EVENTS ? 1 : 0;
         record.line(own.requestId + ": " + std::to_string(own.events) + " of " + std::to_string(EVENTS) + " events, "
-                    + (own.complete      ? "complete"
+                    + (own.complete    ? "complete"
                            : own.reset ? "connection reset"
                                        : "connection ended")
                     + " after " + std::to_string(own.ms) + " ms; longest time without bytes " + std::to_string(own.longestPauseMs) + " ms; runs "
